--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -491,7 +491,7 @@
     fn no_capacity(&mut self, now: Micros, offer: Offer) {
         let entry = self.fleet.unavailable.entry(offer).or_insert((0, 0));
         entry.1 = (entry.1 + 1).min(3);
-        entry.0 = now + (5 * SECOND << entry.1.saturating_sub(1)).min(20 * SECOND);
+        entry.0 = now + ((5 * SECOND) << entry.1.saturating_sub(1)).min(20 * SECOND);
     }
 
     fn drop_hire(&mut self, cx: &Ctx, name: &str) {
@@ -805,7 +805,12 @@
                                 .zip(&work)
                                 .map(|((p, g), w)| p.min(*g) * w.t)
                                 .sum();
-                            if can <= 0.0 || closes < can * cx.tuning.rent_threshold {
+                            // Work that no machine can take gets one however little it fills.
+                            let stranded = (0..work.len())
+                                .any(|i| have[i] <= EPS && p[i] > 0.0 && gap[i] >= work[i].n - EPS);
+                            if closes <= 0.0
+                                || (!stranded && closes < can * cx.tuning.rent_threshold)
+                            {
                                 continue;
                             }
                             let cost = price / closes;
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -344,10 +344,12 @@
                 return (at, true);
             }
         }
-        if aims.is_empty() {
-            return (self.age_base + default as i64, true);
+        // Late for every aim: it is served after those that are not, but as if it were new, since
+        // late work still costs whoever waits for it.
+        match aims.last() {
+            Some(last) => (now as i64 + (*last).max(need) as i64, false),
+            None => (self.age_base + default as i64, true),
         }
-        (now as i64 + default as i64, false)
     }
 }
 
