--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -6,7 +6,7 @@
 //! less its remaining boot delay, floored at zero. If work exceeds power, machines are added
 //! greedily by price per unit of the gap they close.
 
-use crate::jobs::{fits_type, EPS};
+use crate::jobs::{fits_type, Shape, EPS};
 use crate::leadership::Lead;
 use crate::ledger::Rec;
 use crate::node::{Ctx, LeadCall};
@@ -229,7 +229,7 @@
                 self.stats
                     .booted(&boot.machine_type, micros(t.startup_s), took);
             }
-            self.placement.wanted = true;
+            self.placement.want(cx.now.steady);
         }
         for h in self.fleet.hires.values_mut() {
             if let Some(unlisted) = &mut h.unlisted {
@@ -648,6 +648,11 @@
             let left = (at - now as i64).max(0) as f64 / 1e6 * cx.tuning.deadline_share;
             // Less than a boot and a run cannot be met by anything that is rented now.
             let d = left.max(boot as f64 / 1e6 + t);
+            // Waiting tasks of other shapes need a slot each, now.
+            let t = match Shape::of(&j.spec) {
+                Some(Shape::Batch) => t,
+                _ => d,
+            };
             // The team's limit bounds what can run within `d`, whatever is rented.
             let used = usage.get(&j.spec.owner).copied().unwrap_or((0.0, 0.0));
             let plan = planned.entry(&j.spec.owner).or_insert((0.0, 0.0));
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -28,6 +28,29 @@
     })
 }
 
+/// What kind of job it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shape {
+    /// Independent tasks, each of which runs to completion.
+    Batch,
+    /// Tasks that run at the same time: all of them are placed in one round, or none.
+    Gang,
+    /// Tasks that run until the job is cancelled.
+    Daemon,
+}
+
+impl Shape {
+    /// The shape of a submission, unless its name is unknown.
+    pub fn of(s: &Submission) -> Option<Shape> {
+        match s.shape.as_str() {
+            "batch" => Some(Shape::Batch),
+            "gang" => Some(Shape::Gang),
+            "daemon" => Some(Shape::Daemon),
+            _ => None,
+        }
+    }
+}
+
 /// Checks a submission's own fields.
 pub fn check_fields(s: &Submission) -> Result<(), Refused> {
     let invalid = |what: &str| Err(Refused::Invalid(what.to_string()));
@@ -43,8 +66,8 @@
             return invalid(&format!("{field}: empty or too long"));
         }
     }
-    if s.shape != "batch" {
-        return invalid("shape: only batch is known");
+    if Shape::of(s).is_none() {
+        return invalid("shape: not one of batch, gang and daemon");
     }
     if s.shards == 0 || s.shards > MAX_TASKS {
         return invalid("shards: not within 1 and 100000");
@@ -102,8 +125,13 @@
     let Some(team) = settings.teams.get(&s.owner) else {
         return impossible(format!("owner: no team {:?}", s.owner));
     };
-    if s.vcpus > team.cpus_max + EPS || s.accelerators > team.gpus_max + EPS {
-        return impossible("a task needs more than the team's limit".into());
+    // Tasks of a batch may run one after the other; those of other shapes run together.
+    let together = match Shape::of(s) {
+        Some(Shape::Batch) => 1.0,
+        _ => s.shards as f64,
+    };
+    if s.vcpus * together > team.cpus_max + EPS || s.accelerators * together > team.gpus_max + EPS {
+        return impossible("the job needs more than the team's limit".into());
     }
     if !catalogue.iter().any(|t| fits_type(s, t)) {
         return impossible("a task fits no allowed machine type".into());
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -714,7 +714,7 @@
                 self.ledger.stamps.insert(key.to_string(), stamp);
                 let job = Job::new(record, cx.now.steady, cx.now.wall);
                 self.jobs.insert(job);
-                self.placement.wanted = true;
+                self.placement.want(cx.now.steady);
             }
             Ok(_) => error!("record {key}: holds another job; set aside"),
             Err(e) => {
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -4,7 +4,7 @@
 //! the free room allow. It has a time budget: a round that runs out of it goes on with the next
 //! job the next time.
 
-use crate::jobs::{fits_type, rank, JobIx, EPS};
+use crate::jobs::{fits_type, rank, JobIx, Shape, EPS};
 use crate::leadership::Lead;
 use crate::ledger::Rec;
 use crate::node::Ctx;
@@ -61,6 +61,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Placement {
     pub next_at: Micros,
+    /// Rounds keep at least their interval.
+    not_before: Micros,
     /// Something changed that may let a task be placed.
     pub wanted: bool,
     /// Where the last round stopped for lack of time.
@@ -70,6 +72,17 @@
     next_preemption: Micros,
 }
 
+impl Placement {
+    /// Something changed that may let a task be placed: a round is due now.
+    pub fn want(&mut self, now: Micros) {
+        self.wanted = true;
+        self.next_at = self.next_at.min(now.max(self.not_before));
+    }
+}
+
+/// A machine with its place in the order of preference and its free slots.
+type Candidate = (String, (bool, bool, i64), u64);
+
 /// Use of a team: CPUs and accelerators.
 type Usage = BTreeMap<String, (f64, f64)>;
 
@@ -173,6 +186,7 @@
             return;
         }
         self.placement.next_at = now + cx.tuning.placement_interval_us;
+        self.placement.not_before = self.placement.next_at;
         if !self.placement.wanted && self.placement.resume.is_none() {
             // Rounds without news are needed only for what time itself changes.
             self.placement.next_at = now + SECOND;
@@ -219,7 +233,7 @@
         }
         let expected = self.stats.expected_run(&spec);
         let silence = cx.settings.report * 3;
-        let mut candidates: Vec<(String, (bool, bool, i64), u64)> = self
+        let mut candidates: Vec<Candidate> = self
             .machines
             .values()
             .filter(|m| m.usable(now, silence) && permits(cx, &spec, m))
@@ -232,6 +246,14 @@
             .collect();
         candidates.sort_by(|a, b| (a.1, &a.0).cmp(&(b.1, &b.0)));
         let fixed_zone = self.fixed_zone(ix, &spec, &candidates);
+        if Shape::of(&spec) == Some(Shape::Gang) {
+            let room = self.gang_room(ix, &spec, &candidates, fixed_zone.as_deref());
+            let quota = used.0 + spec.vcpus * left as f64 <= team.cpus_max + EPS
+                && used.1 + spec.accelerators * left as f64 <= team.gpus_max + EPS;
+            if room < left || !quota {
+                return;
+            }
+        }
         for (name, _, slots) in candidates {
             let Some(zone) = self.machines.get(&name).map(|m| m.zone.clone()) else {
                 continue;
@@ -269,13 +291,40 @@
         }
     }
 
-    /// The zone that a `one_zone` job is bound to: where its tasks are, else where most fit.
-    fn fixed_zone(
+    /// How many tasks of a gang could be placed at once.
+    fn gang_room(
         &self,
         ix: JobIx,
         spec: &Submission,
-        candidates: &[(String, (bool, bool, i64), u64)],
-    ) -> Option<String> {
+        candidates: &[Candidate],
+        fixed_zone: Option<&str>,
+    ) -> u64 {
+        let mut zones: BTreeMap<&str, u64> = BTreeMap::new();
+        for (name, _, slots) in candidates {
+            if let Some(m) = self.machines.get(name) {
+                if fixed_zone.is_none_or(|z| z == m.zone) {
+                    *zones.entry(&m.zone).or_insert(0) += slots;
+                }
+            }
+        }
+        let here = |zone: &str| {
+            let n = self.jobs.get(ix).and_then(|j| j.zones.get(zone));
+            n.copied().unwrap_or(0) as u64
+        };
+        zones
+            .into_iter()
+            .map(|(zone, n)| {
+                if spec.spread {
+                    n.min(spec.shards.div_ceil(2).saturating_sub(here(zone)))
+                } else {
+                    n
+                }
+            })
+            .sum()
+    }
+
+    /// The zone that a `one_zone` job is bound to: where its tasks are, else where most fit.
+    fn fixed_zone(&self, ix: JobIx, spec: &Submission, candidates: &[Candidate]) -> Option<String> {
         if !spec.one_zone {
             return None;
         }
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -338,13 +338,17 @@
         if (report.tenure, report.tally) <= (m.tenure, m.tally) {
             return false;
         }
-        if m.endpoint.is_empty() {
-            // Known from state only until now.
+        // Known from state only until now, or reported before the machine types were known: a
+        // machine without its type's room would stay empty for good.
+        if m.endpoint.is_empty() || m.cpus <= 0.0 {
             let known = Machine::new(&report, cx.machine_type(&report.build), now);
             *m = Machine {
                 assignments: std::mem::take(&mut m.assignments),
+                reaps: std::mem::take(&mut m.reaps),
                 tenure: m.tenure,
                 tally: m.tally,
+                knows_token: m.knows_token,
+                closing: m.closing,
                 ..known
             };
         }
@@ -621,7 +625,7 @@
                 job.waiting_since = Some(now);
             }
         }
-        self.placement.wanted = true;
+        self.placement.want(cx.now.steady);
         self.end_if_over(cx, a.job);
     }
 
@@ -856,14 +860,20 @@
     /// better lead.
     pub(crate) fn cut_from_workers(&self, cx: &Ctx) -> bool {
         let now = cx.now.steady;
-        let silence = (cx.settings.report * 3).max(4 * SECOND);
-        self.loaded()
-            && !cx.settings.siblings.is_empty()
-            && now.saturating_sub(self.heard_at.max(self.loaded_at)) > silence + 2 * SECOND
-            && self
-                .machines
-                .values()
-                .any(|m| now.saturating_sub(m.last_report) < silence * 4)
+        // Two reports and a half: a worker that gets no answer for 4 s goes to another node, and
+        // its lease should still hold when it finds the next leader there.
+        let silence = cx.settings.report * 5 / 2;
+        let since = now.saturating_sub(self.heard_at.max(self.loaded_at));
+        if !self.loaded() || cx.settings.siblings.is_empty() || since <= silence {
+            return false;
+        }
+        let lately = |m: &&Machine| now.saturating_sub(m.last_report) < silence * 4;
+        match self.machines.values().filter(lately).count() {
+            0 => false,
+            // A single machine may well be at fault itself.
+            1 => since > silence * 2,
+            _ => true,
+        }
     }
 
     /// Looks after silent machines, stops that were not carried out, and recalls.
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,1 +1,18 @@
-//! Stand-ins.
+//! Stand-ins for everything around the controllers, in simulated time, and the runner of scenario
+//! files.
+//!
+//! A scenario is a text file; [`script`] lists its lines. [`world`] plays it: real controllers
+//! ([`grebewood_core::Node`]), a state service ([`state`]), a cloud with machines and workers
+//! ([`machines`]) and users, joined by links that can be cut, held back or made to lose messages.
+//! The rules of the protocol are checked at every step; a broken one ends the scenario.
+
+pub mod machines;
+pub mod script;
+pub mod state;
+pub mod world;
+
+/// Plays a scenario. The error says what went wrong, and when.
+pub fn play(text: &str) -> Result<(), String> {
+    let script = script::parse(text)?;
+    world::World::new(script)?.run()
+}
--- /dev/null
+++ b/crates/testkit/src/machines.rs
@@ -0,0 +1,221 @@
+//! Stand-ins for the cloud's machines and their workers.
+
+use grebewood_wire::http::{Order, Report, ShardReport};
+use std::collections::BTreeMap;
+
+type Micros = u64;
+
+/// A task on a worker.
+#[derive(Clone, Debug)]
+pub struct Task {
+    pub shard: String,
+    pub attempt: u64,
+    pub status: &'static str,
+    pub cause: Option<&'static str>,
+    pub saved: bool,
+    /// When its present state ends.
+    pub ends: Micros,
+    pub cpus: f64,
+}
+
+/// What a worker knows of a job, since it fetches the description on its own.
+#[derive(Clone, Debug)]
+pub struct JobFacts {
+    pub cpus: f64,
+    pub run: Micros,
+    pub flush: Micros,
+    pub saves: bool,
+    pub fails: bool,
+}
+
+/// A machine with its worker.
+#[derive(Clone, Debug)]
+pub struct Machine {
+    pub name: String,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub cpus: f64,
+    pub requested: Micros,
+    /// When it is up; never for a boot that fails.
+    pub up_at: Option<Micros>,
+    pub up: bool,
+    pub gone: bool,
+    pub hangs_until: Micros,
+    pub faulty: bool,
+    pub recall_at: Option<Micros>,
+    pub tenure: u64,
+    pub tally: u64,
+    pub warrant: u64,
+    /// When the last answered report was sent, or the session began.
+    pub lease_from: Micros,
+    pub tasks: Vec<Task>,
+    /// The controller it reports to.
+    pub node: usize,
+    /// The report in flight: when it was sent, and its session.
+    pub in_flight: Option<(u64, Micros, u64)>,
+    pub next_report: Micros,
+    pub last_report: Micros,
+    pub told_warrant: u64,
+}
+
+impl Machine {
+    pub fn report(&mut self, now: Micros) -> Report {
+        self.tally += 1;
+        Report {
+            perch: self.name.clone(),
+            endpoint: format!("worker:{}", self.name),
+            build: self.machine_type.clone(),
+            yard: self.zone.clone(),
+            loaner: self.spot,
+            tenure: self.tenure,
+            tally: self.tally,
+            warrant: self.warrant,
+            recall_s: self.recall_at.map(|at| at.saturating_sub(now) as f64 / 1e6),
+            shards: self
+                .tasks
+                .iter()
+                .map(|t| ShardReport {
+                    shard: t.shard.clone(),
+                    attempt: t.attempt,
+                    status: t.status.into(),
+                    cause: t.cause.map(str::to_string),
+                    saved: t.cause.is_some().then_some(t.saved),
+                })
+                .collect(),
+        }
+    }
+
+    /// Carries out commands. The result names the tasks that came onto the machine.
+    pub fn carry_out(
+        &mut self,
+        now: Micros,
+        orders: &[Order],
+        jobs: &BTreeMap<String, JobFacts>,
+    ) -> Vec<String> {
+        let mut came = Vec::new();
+        for o in orders {
+            match o.verb.as_str() {
+                "launch" => {
+                    if self
+                        .tasks
+                        .iter()
+                        .any(|t| t.shard == o.shard && t.attempt == o.attempt)
+                    {
+                        continue;
+                    }
+                    let job = o.shard.rsplit_once('/').and_then(|(j, _)| jobs.get(j));
+                    let used: f64 = self.live().map(|t| t.cpus).sum();
+                    let busy = self.live().any(|t| t.shard == o.shard);
+                    let refused = match job {
+                        None => Some("unknown"),
+                        Some(_) if busy => Some("busy"),
+                        Some(j) if used + j.cpus > self.cpus + 1e-6 => Some("no_room"),
+                        Some(_) => None,
+                    };
+                    let mut task = Task {
+                        shard: o.shard.clone(),
+                        attempt: o.attempt,
+                        status: "fetching",
+                        cause: None,
+                        saved: false,
+                        ends: now + 500_000,
+                        cpus: job.map_or(0.0, |j| j.cpus),
+                    };
+                    if refused.is_some() {
+                        task.status = "exited";
+                        task.cause = refused;
+                    } else {
+                        came.push(o.shard.clone());
+                    }
+                    self.tasks.push(task);
+                }
+                "stop" => {
+                    let leeway = (o.leeway_s.unwrap_or(0.0) * 1e6) as Micros;
+                    let job = o.shard.rsplit_once('/').and_then(|(j, _)| jobs.get(j));
+                    for t in self
+                        .tasks
+                        .iter_mut()
+                        .filter(|t| t.shard == o.shard && t.attempt == o.attempt)
+                    {
+                        let saves = job.is_some_and(|j| j.saves && leeway >= j.flush);
+                        match t.status {
+                            "exited" => {}
+                            "running" if saves => {
+                                t.status = "saving";
+                                t.ends = now + job.map_or(0, |j| j.flush);
+                            }
+                            "saving" if leeway > 0 => {}
+                            _ => {
+                                t.status = "exited";
+                                t.cause = Some("stopped");
+                            }
+                        }
+                    }
+                }
+                "reap" => self.tasks.retain(|t| {
+                    t.shard != o.shard || t.attempt != o.attempt || t.status != "exited"
+                }),
+                _ => {}
+            }
+        }
+        came
+    }
+
+    /// Tasks that are on the machine.
+    pub fn live(&self) -> impl Iterator<Item = &Task> {
+        self.tasks.iter().filter(|t| t.status != "exited")
+    }
+
+    /// Lets time pass for the tasks. Returns the tasks that completed, and whether anything
+    /// changed.
+    pub fn advance(
+        &mut self,
+        now: Micros,
+        lease: Micros,
+        jobs: &BTreeMap<String, JobFacts>,
+    ) -> (Vec<String>, bool) {
+        let mut done = Vec::new();
+        let mut changed = false;
+        if !self.up || self.gone || now < self.hangs_until {
+            return (done, changed);
+        }
+        if now > self.lease_from + lease {
+            self.tasks.clear();
+            self.tenure += 1;
+            self.tally = 0;
+            self.lease_from = now;
+            self.in_flight = None;
+            changed = true;
+        }
+        let faulty = self.faulty;
+        for t in &mut self.tasks {
+            if t.status == "exited" || now < t.ends {
+                continue;
+            }
+            changed = true;
+            let job = t.shard.rsplit_once('/').and_then(|(j, _)| jobs.get(j));
+            match t.status {
+                "fetching" => {
+                    t.status = "running";
+                    t.ends = now + job.map_or(0, |j| j.run);
+                }
+                "saving" => {
+                    t.status = "exited";
+                    t.cause = Some("stopped");
+                    t.saved = true;
+                }
+                _ => {
+                    t.status = "exited";
+                    if faulty || job.is_some_and(|j| j.fails) {
+                        t.cause = Some("error");
+                    } else {
+                        t.cause = Some("done");
+                        done.push(t.shard.clone());
+                    }
+                }
+            }
+        }
+        (done, changed)
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/script.rs
@@ -0,0 +1,133 @@
+//! Scenario files.
+//!
+//! One thing a line, `#` starts a comment. First what there is:
+//!
+//! ```text
+//! nodes 3                                   controllers
+//! team NAME cpus=16 max=32
+//! type NAME cpus=8 mem=32 price=1 spot=0.3 boot=10 cap=4 spotcap=2 zones=a,b
+//! machines TYPE zone=a count=2 [spot=yes]   up at the start: n-000000, n-000001, ...
+//! ```
+//!
+//! then what happens, each with its time in seconds:
+//!
+//! ```text
+//! at 5  submit JOB tasks=4 cpus=2 [owner= prec= run= due= saves=yes flush= fails=yes zone= type=
+//!       spot=no one_zone=yes spread=yes shape=]
+//! at 5  cancel JOB
+//! at 5  expect JOB STATUS                   a poll at every node that is up gives this status
+//! at 5  starts JOB N                        its tasks came onto machines N times so far
+//! at 5  leaders N                           so many nodes lead
+//! at 5  machines N                          so many machines are rented
+//! at 5  request METHOD PATH STATUS [BODY]   a raw request at every node; BODY: hex digits
+//! at 5  crash NODE|leader|all [for=4]
+//! at 5  cut NODE|leader state|workers|peers|all for=10 [hold=yes]
+//! at 5  refuse NODE|leader for=10           the state service answers it 503
+//! at 5  state down for=10
+//! at 5  cloud down for=10
+//! at 5  trap page-write                     the leader crashes when its next page is written
+//! at 5  late txn for=10                     the leader's next transaction is applied late
+//! at 5  late report MACHINE for=10          a copy of its next report arrives late
+//! at 5  lose answer MACHINE                 the answer to its next report is lost
+//! at 5  hang MACHINE for=5 | faulty MACHINE | kill MACHINE | recall MACHINE in=10
+//! at 5  boots never | boots 10              of machines rented from now on
+//! at 5  corrupt KEY                         the record becomes unreadable
+//! end 60
+//! ```
+
+use std::collections::BTreeMap;
+
+type Micros = u64;
+
+/// One line's words and options.
+#[derive(Clone, Debug, Default)]
+pub struct Line {
+    pub number: usize,
+    pub words: Vec<String>,
+    pub options: BTreeMap<String, String>,
+}
+
+impl Line {
+    /// The word at a place.
+    pub fn word(&self, at: usize) -> Result<&str, String> {
+        self.words
+            .get(at)
+            .map(String::as_str)
+            .ok_or(format!("line {}: a word is missing", self.number))
+    }
+
+    /// A number among the options.
+    pub fn number(&self, key: &str, default: f64) -> Result<f64, String> {
+        match self.options.get(key) {
+            None => Ok(default),
+            Some(text) => text
+                .parse()
+                .map_err(|_| format!("line {}: {key}={text} is no number", self.number)),
+        }
+    }
+
+    /// A span of time among the options.
+    pub fn time(&self, key: &str, default: f64) -> Result<Micros, String> {
+        Ok((self.number(key, default)? * 1e6) as Micros)
+    }
+
+    pub fn text(&self, key: &str, default: &str) -> String {
+        self.options
+            .get(key)
+            .cloned()
+            .unwrap_or_else(|| default.to_string())
+    }
+
+    pub fn yes(&self, key: &str, default: bool) -> bool {
+        self.options.get(key).map_or(default, |v| v == "yes")
+    }
+}
+
+/// A scenario.
+#[derive(Clone, Debug, Default)]
+pub struct Script {
+    pub setup: Vec<Line>,
+    pub events: Vec<(Micros, Line)>,
+    pub end: Micros,
+}
+
+fn seconds(text: &str, number: usize) -> Result<Micros, String> {
+    let s: f64 = text
+        .parse()
+        .map_err(|_| format!("line {number}: {text} is no time"))?;
+    Ok((s * 1e6) as Micros)
+}
+
+/// Reads a scenario.
+pub fn parse(text: &str) -> Result<Script, String> {
+    let mut script = Script::default();
+    for (i, raw) in text.lines().enumerate() {
+        let number = i + 1;
+        let mut line = Line {
+            number,
+            ..Line::default()
+        };
+        for word in raw.split('#').next().unwrap_or("").split_whitespace() {
+            match word.split_once('=') {
+                Some((k, v)) => {
+                    line.options.insert(k.to_string(), v.to_string());
+                }
+                None => line.words.push(word.to_string()),
+            }
+        }
+        match line.words.first().map(String::as_str) {
+            None => {}
+            Some("at") => {
+                let at = seconds(line.word(1)?, number)?;
+                line.words.drain(..2);
+                script.events.push((at, line));
+            }
+            Some("end") => script.end = seconds(line.word(1)?, number)?,
+            Some(_) => script.setup.push(line),
+        }
+    }
+    if script.end == 0 {
+        return Err("the scenario has no end".into());
+    }
+    Ok(script)
+}
--- /dev/null
+++ b/crates/testkit/src/state.rs
@@ -0,0 +1,329 @@
+//! Stand-in for the state service.
+
+use grebewood_wire::http::{Change, Txn};
+use grebewood_wire::{from_cbor, to_cbor, Value};
+use serde::Serialize;
+use std::collections::{BTreeMap, VecDeque};
+
+type Micros = u64;
+
+#[derive(Clone, Debug)]
+struct Item {
+    value: Value,
+    stamp: u64,
+    tether: Option<u64>,
+}
+
+#[derive(Clone, Debug)]
+struct Logged {
+    key: String,
+    value: Option<Value>,
+    stamp: u64,
+}
+
+/// A watch that waits for a change.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    pub ticket: u64,
+    prefix: String,
+    since: u64,
+    pub until: Micros,
+}
+
+/// What a request leads to.
+pub enum Reply {
+    Now(u16, Vec<u8>),
+    /// The answer comes when something changes.
+    Later,
+}
+
+/// The store.
+#[derive(Default)]
+pub struct StateService {
+    items: BTreeMap<String, Item>,
+    /// Leases: life and end.
+    leases: BTreeMap<u64, (Micros, Micros)>,
+    next_lease: u64,
+    epoch: u64,
+    log: VecDeque<Logged>,
+    pub waiting: Vec<Waiting>,
+    pub down: bool,
+}
+
+#[derive(Serialize)]
+struct ItemOut<'a> {
+    k: &'a str,
+    value: &'a Value,
+    stamp: u64,
+}
+
+#[derive(Serialize)]
+struct EventOut<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    put: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delete: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    value: Option<&'a Value>,
+    stamp: u64,
+}
+
+fn epoch_body(epoch: u64) -> Vec<u8> {
+    to_cbor(&BTreeMap::from([("epoch", epoch)]))
+}
+
+impl StateService {
+    fn change(&mut self, key: &str, item: Option<Item>) {
+        let value = item.as_ref().map(|i| i.value.clone());
+        match item {
+            Some(item) => {
+                self.items.insert(key.to_string(), item);
+            }
+            None => {
+                if self.items.remove(key).is_none() {
+                    return;
+                }
+            }
+        }
+        self.log.push_back(Logged {
+            key: key.to_string(),
+            value,
+            stamp: self.epoch,
+        });
+        if self.log.len() > 10_000 {
+            self.log.pop_front();
+        }
+    }
+
+    /// Ends leases whose time is over.
+    pub fn expire(&mut self, now: Micros) {
+        if self.down {
+            return;
+        }
+        let ended: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (_, end))| *end <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ended {
+            self.end_lease(id);
+        }
+    }
+
+    fn end_lease(&mut self, id: u64) {
+        self.leases.remove(&id);
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, i)| i.tether == Some(id))
+            .map(|(k, _)| k.clone())
+            .collect();
+        for key in keys {
+            self.epoch += 1;
+            self.change(&key, None);
+        }
+    }
+
+    /// An outage ends: every lease has its full time again.
+    pub fn recover(&mut self, now: Micros) {
+        self.down = false;
+        for (life, end) in self.leases.values_mut() {
+            *end = now + *life;
+        }
+    }
+
+    /// Overwrites a record with something unreadable.
+    pub fn corrupt(&mut self, key: &str) -> bool {
+        let Some(item) = self.items.get(key).cloned() else {
+            return false;
+        };
+        self.epoch += 1;
+        let item = Item {
+            value: Value::Text("unreadable".into()),
+            stamp: self.epoch,
+            ..item
+        };
+        self.change(key, Some(item));
+        true
+    }
+
+    /// Whether a key is there.
+    pub fn has(&self, key: &str) -> bool {
+        self.items.contains_key(key)
+    }
+
+    /// Takes one request. `ticket` names it in case the answer comes later.
+    pub fn request(
+        &mut self,
+        now: Micros,
+        ticket: u64,
+        method: &str,
+        path: &str,
+        body: &[u8],
+    ) -> Reply {
+        self.expire(now);
+        let (path, query) = path.split_once('?').unwrap_or((path, ""));
+        let query: BTreeMap<&str, &str> =
+            query.split('&').filter_map(|p| p.split_once('=')).collect();
+        if self.down && path != "/changes" {
+            return Reply::Now(503, Vec::new());
+        }
+        match (method, path) {
+            ("GET", "/kv") => self.list(&query),
+            ("GET", "/changes") => {
+                let number = |k: &str| query.get(k).and_then(|v| v.parse().ok()).unwrap_or(0);
+                self.waiting.push(Waiting {
+                    ticket,
+                    prefix: query.get("prefix").unwrap_or(&"").to_string(),
+                    since: number("since"),
+                    until: now + number("block_ms") * 1_000,
+                });
+                Reply::Later
+            }
+            ("POST", "/txn") => self.txn(body),
+            ("POST", "/leases") => {
+                let life: BTreeMap<String, u64> = from_cbor(body).unwrap_or_default();
+                let life = life.get("life_ms").copied().unwrap_or(1_000) * 1_000;
+                self.next_lease += 1;
+                self.leases.insert(self.next_lease, (life, now + life));
+                let body = to_cbor(&BTreeMap::from([("tether", self.next_lease)]));
+                Reply::Now(200, body)
+            }
+            _ => {
+                if let Some(key) = path.strip_prefix("/kv/") {
+                    return match self.items.get(key) {
+                        Some(i) => Reply::Now(
+                            200,
+                            to_cbor(&ItemOut {
+                                k: key,
+                                value: &i.value,
+                                stamp: i.stamp,
+                            }),
+                        ),
+                        None => Reply::Now(404, epoch_body(self.epoch)),
+                    };
+                }
+                let id = path
+                    .strip_prefix("/leases/")
+                    .and_then(|p| p.trim_end_matches("/extend").parse::<u64>().ok());
+                match (method, id) {
+                    ("POST", Some(id)) => match self.leases.get_mut(&id) {
+                        Some((life, end)) => {
+                            *end = now + *life;
+                            Reply::Now(200, Vec::new())
+                        }
+                        None => Reply::Now(404, Vec::new()),
+                    },
+                    ("DELETE", Some(id)) => {
+                        self.end_lease(id);
+                        Reply::Now(200, Vec::new())
+                    }
+                    _ => Reply::Now(400, Vec::new()),
+                }
+            }
+        }
+    }
+
+    fn list(&self, query: &BTreeMap<&str, &str>) -> Reply {
+        #[derive(Serialize)]
+        struct Out<'a> {
+            entries: Vec<ItemOut<'a>>,
+            more: bool,
+            epoch: u64,
+        }
+        let prefix = query.get("prefix").copied().unwrap_or("");
+        let since = query.get("since").copied().unwrap_or("");
+        let page: usize = query
+            .get("page")
+            .and_then(|p| p.parse().ok())
+            .unwrap_or(1_000);
+        let mut entries: Vec<ItemOut> = self
+            .items
+            .iter()
+            .filter(|(k, _)| k.starts_with(prefix) && k.as_str() > since)
+            .take(page + 1)
+            .map(|(k, i)| ItemOut {
+                k,
+                value: &i.value,
+                stamp: i.stamp,
+            })
+            .collect();
+        let more = entries.len() > page;
+        entries.truncate(page);
+        let out = Out {
+            entries,
+            more,
+            epoch: self.epoch,
+        };
+        Reply::Now(200, to_cbor(&out))
+    }
+
+    fn txn(&mut self, body: &[u8]) -> Reply {
+        let Ok(txn) = from_cbor::<Txn>(body) else {
+            return Reply::Now(400, Vec::new());
+        };
+        let failed: Vec<String> = txn
+            .when
+            .iter()
+            .filter(|w| self.items.get(&w.k).map_or(0, |i| i.stamp) != w.stamp)
+            .map(|w| w.k.clone())
+            .collect();
+        if !failed.is_empty() {
+            return Reply::Now(409, to_cbor(&BTreeMap::from([("failed", failed)])));
+        }
+        let no_lease = txn.apply.iter().any(
+            |c| matches!(c, Change::Put { tether: Some(t), .. } if !self.leases.contains_key(t)),
+        );
+        if no_lease {
+            return Reply::Now(400, to_cbor(&BTreeMap::from([("error", "no such lease")])));
+        }
+        self.epoch += 1;
+        for change in txn.apply {
+            match change {
+                Change::Put { put, value, tether } => {
+                    let item = Item {
+                        value,
+                        stamp: self.epoch,
+                        tether,
+                    };
+                    self.change(&put, Some(item));
+                }
+                Change::Delete { delete } => self.change(&delete, None),
+            }
+        }
+        Reply::Now(200, epoch_body(self.epoch))
+    }
+
+    /// Watches that can be answered now.
+    pub fn ready(&mut self, now: Micros) -> Vec<(u64, Vec<u8>)> {
+        #[derive(Serialize)]
+        struct Out<'a> {
+            epoch: u64,
+            events: Vec<EventOut<'a>>,
+        }
+        if self.down {
+            return Vec::new();
+        }
+        let mut out = Vec::new();
+        let (log, epoch) = (&self.log, self.epoch);
+        self.waiting.retain(|w| {
+            let events: Vec<EventOut> = log
+                .iter()
+                .filter(|l| l.stamp > w.since && l.key.starts_with(&w.prefix))
+                .map(|l| EventOut {
+                    put: l.value.is_some().then_some(l.key.as_str()),
+                    delete: l.value.is_none().then_some(l.key.as_str()),
+                    value: l.value.as_ref(),
+                    stamp: l.stamp,
+                })
+                .collect();
+            if events.is_empty() && now < w.until {
+                return true;
+            }
+            out.push((w.ticket, to_cbor(&Out { epoch, events })));
+            false
+        });
+        out
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/world.rs
@@ -0,0 +1,1280 @@
+//! The simulated world: plays a script and checks the rules.
+
+use crate::machines::{JobFacts, Machine};
+use crate::script::{Line, Script};
+use crate::state::{Reply, StateService};
+use grebewood_core::{
+    Door, Effect, Input, NoStopwatch, Node, Now, Objective, Outcome, Settings, Sibling, Target,
+    Team, Tuning,
+};
+use grebewood_wire::http::{
+    CheckinAnswer, DirectOrders, JobStatus, ListedMachine, MachineList, MachineType, Perches,
+    Precedence, Redirect, RentalRequest, Submission,
+};
+use grebewood_wire::{from_cbor, to_cbor};
+use std::collections::{BTreeMap, BTreeSet};
+
+type Micros = u64;
+const S: Micros = 1_000_000;
+const MS: Micros = 1_000;
+const TICK: Micros = 20 * MS;
+const REPORT: Micros = 1_500 * MS;
+const LEASE: Micros = 10 * S;
+const CANCEL: Micros = 30 * S;
+const WALL: Micros = 1_700_000_000 * S;
+
+/// A process of a controller that made a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Caller {
+    node: usize,
+    process: u64,
+    call: u64,
+}
+
+/// Who waits for an answer of a controller.
+#[derive(Clone, Debug)]
+enum Asker {
+    Submit(String),
+    Cancel(String),
+    /// A poll that must give this status; the line that says so.
+    Expect(String, String, usize),
+    Raw(u16, usize),
+    Worker {
+        machine: String,
+        flight: u64,
+    },
+    Peer(Caller),
+}
+
+enum Ev {
+    /// An input for a process.
+    Input(usize, u64, Input),
+    State(Caller, &'static str, String, Vec<u8>),
+    Cloud(Caller, &'static str, String, Vec<u8>),
+    Worker(Caller, String, Vec<u8>),
+    Request {
+        node: usize,
+        door: Door,
+        method: String,
+        path: String,
+        body: Vec<u8>,
+        asker: Asker,
+    },
+    Answered(Asker, usize, u16, Vec<u8>),
+    Script(Line),
+    Start(usize),
+    Tick,
+    StateUp,
+    CloudUp,
+    RetrySubmit(String),
+    RetryCancel(String),
+}
+
+struct Cut {
+    node: usize,
+    what: String,
+    until: Micros,
+    hold: bool,
+}
+
+struct JobSeen {
+    spec: Submission,
+    accepted: bool,
+    cancelled_at: Option<Micros>,
+    done: bool,
+    completed: BTreeSet<String>,
+    starts: u64,
+}
+
+struct Slot {
+    node: Option<Node>,
+    process: u64,
+}
+
+/// The world.
+pub struct World {
+    now: Micros,
+    end: Micros,
+    queue: BTreeMap<(Micros, u64), Ev>,
+    seq: u64,
+    slots: Vec<Slot>,
+    settings: Settings,
+    state: StateService,
+    state_tickets: BTreeMap<u64, Caller>,
+    types: Vec<MachineType>,
+    capacity: BTreeMap<(String, bool), u64>,
+    boot: Micros,
+    boots_never: bool,
+    cloud_down: bool,
+    hires: BTreeMap<String, Vec<String>>,
+    machines: BTreeMap<String, Machine>,
+    next_machine: u64,
+    jobs: BTreeMap<String, JobSeen>,
+    facts: BTreeMap<String, JobFacts>,
+    requests: BTreeMap<(usize, u64), Asker>,
+    next_request: u64,
+    open_calls: BTreeSet<Caller>,
+    cuts: Vec<Cut>,
+    refused: Vec<(usize, Micros)>,
+    trap_page_write: bool,
+    late_txn: Option<Micros>,
+    late_report: BTreeMap<String, Micros>,
+    lose_answer: BTreeSet<String>,
+    expected: u64,
+    met: u64,
+}
+
+impl World {
+    pub fn new(script: Script) -> Result<Self, String> {
+        let settings = Settings {
+            member: String::new(),
+            zone: "a".into(),
+            siblings: Vec::new(),
+            teams: BTreeMap::new(),
+            objectives: vec![Objective {
+                kind: "finished".into(),
+                class: "work".into(),
+                within: Some(60 * S),
+                share: 0.9,
+            }],
+            report: REPORT,
+            lease: LEASE,
+            cancel: CANCEL,
+            state_rps: 100.0,
+            state_write_rps: 20.0,
+            value_bytes: 4096,
+            txn_ops: 8,
+            cloud_rps: 8.0,
+            list_lag: 3 * S,
+        };
+        let mut w = World {
+            now: 0,
+            end: script.end,
+            queue: BTreeMap::new(),
+            seq: 0,
+            slots: Vec::new(),
+            settings,
+            state: StateService::default(),
+            state_tickets: BTreeMap::new(),
+            types: Vec::new(),
+            capacity: BTreeMap::new(),
+            boot: 10 * S,
+            boots_never: false,
+            cloud_down: false,
+            hires: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            next_machine: 0,
+            jobs: BTreeMap::new(),
+            facts: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            next_request: 0,
+            open_calls: BTreeSet::new(),
+            cuts: Vec::new(),
+            refused: Vec::new(),
+            trap_page_write: false,
+            late_txn: None,
+            late_report: BTreeMap::new(),
+            lose_answer: BTreeSet::new(),
+            expected: 0,
+            met: 0,
+        };
+        let mut nodes = 3;
+        for line in &script.setup {
+            w.set_up(line, &mut nodes)?;
+        }
+        for n in 0..nodes {
+            w.slots.push(Slot {
+                node: None,
+                process: 0,
+            });
+            w.push(n as Micros * 5 * MS, Ev::Start(n));
+        }
+        for (at, line) in script.events {
+            w.push(at, Ev::Script(line));
+        }
+        w.push(TICK, Ev::Tick);
+        Ok(w)
+    }
+
+    fn set_up(&mut self, line: &Line, nodes: &mut usize) -> Result<(), String> {
+        match line.word(0)? {
+            "nodes" => {
+                *nodes = line
+                    .word(1)?
+                    .parse()
+                    .map_err(|_| format!("line {}: no number", line.number))?;
+            }
+            "team" => {
+                let team = Team {
+                    cpus: line.number("cpus", 0.0)?,
+                    cpus_max: line.number("max", 0.0)?,
+                    gpus: 0.0,
+                    gpus_max: 0.0,
+                };
+                self.settings.teams.insert(line.word(1)?.into(), team);
+            }
+            "type" => {
+                let name = line.word(1)?.to_string();
+                self.boot = line.time("boot", 10.0)?;
+                self.types.push(MachineType {
+                    name: name.clone(),
+                    vcpus: line.number("cpus", 8.0)?,
+                    accelerators: 0.0,
+                    memory_gb: line.number("mem", 32.0)?,
+                    local_gb: Some(50.0),
+                    fetch_gb_per_s: Some(1.0),
+                    price: line.number("price", 1.0)?,
+                    spot_price: Some(line.number("spot", 0.3)?),
+                    startup_s: line.number("boot", 10.0)?,
+                    yards: line
+                        .text("zones", "a")
+                        .split(',')
+                        .map(str::to_string)
+                        .collect(),
+                });
+                self.capacity
+                    .insert((name.clone(), false), line.number("cap", 4.0)? as u64);
+                self.capacity
+                    .insert((name, true), line.number("spotcap", 0.0)? as u64);
+            }
+            "machines" => {
+                for _ in 0..line.number("count", 1.0)? as u64 {
+                    let name = self.rent(
+                        line.word(1)?,
+                        &line.text("zone", "a"),
+                        line.yes("spot", false),
+                    );
+                    if let Some(m) = self.machines.get_mut(&name) {
+                        m.up_at = Some(0);
+                    }
+                }
+            }
+            other => return Err(format!("line {}: {other}: unknown", line.number)),
+        }
+        Ok(())
+    }
+
+    fn rent(&mut self, machine_type: &str, zone: &str, spot: bool) -> String {
+        let name = format!("n-{:06}", self.next_machine);
+        self.next_machine += 1;
+        let cpus = self
+            .types
+            .iter()
+            .find(|t| t.name == machine_type)
+            .map_or(0.0, |t| t.vcpus);
+        let up_at = (!self.boots_never).then_some(self.now + self.boot);
+        let m = Machine {
+            name: name.clone(),
+            machine_type: machine_type.into(),
+            zone: zone.into(),
+            spot,
+            cpus,
+            requested: self.now,
+            up_at,
+            up: false,
+            gone: false,
+            hangs_until: 0,
+            faulty: false,
+            recall_at: None,
+            tenure: 1,
+            tally: 0,
+            warrant: 0,
+            lease_from: 0,
+            tasks: Vec::new(),
+            node: self.next_machine as usize % 3,
+            in_flight: None,
+            next_report: 0,
+            last_report: 0,
+            told_warrant: 0,
+        };
+        self.machines.insert(name.clone(), m);
+        name
+    }
+
+    fn push(&mut self, at: Micros, ev: Ev) {
+        self.seq += 1;
+        self.queue.insert((at, self.seq), ev);
+    }
+
+    /// Plays to the end.
+    pub fn run(mut self) -> Result<(), String> {
+        while let Some(((at, _), ev)) = self.queue.pop_first() {
+            if at > self.end {
+                break;
+            }
+            self.now = at;
+            self.play(ev)
+                .map_err(|e| format!("at {:.3} s: {e}", at as f64 / 1e6))?;
+        }
+        if self.met < self.expected {
+            return Err(format!(
+                "{} of {} expectations got no answer",
+                self.expected - self.met,
+                self.expected
+            ));
+        }
+        Ok(())
+    }
+
+    fn play(&mut self, ev: Ev) -> Result<(), String> {
+        match ev {
+            Ev::Tick => {
+                self.push(self.now + TICK, Ev::Tick);
+                self.tick()
+            }
+            Ev::Start(n) => {
+                let mut settings = self.settings.clone();
+                settings.member = format!("perch-{n}");
+                settings.siblings = (0..self.slots.len())
+                    .filter(|p| *p != n)
+                    .map(|p| Sibling {
+                        member: format!("perch-{p}"),
+                        zone: "a".into(),
+                    })
+                    .collect();
+                let process = self.seq + 1;
+                self.slots[n] = Slot {
+                    node: Some(Node::new(settings, Tuning::default(), process)),
+                    process,
+                };
+                self.step(n, process, Input::Tick);
+                Ok(())
+            }
+            Ev::Input(n, process, input) => {
+                if let Input::Reply { call, .. } = &input {
+                    let caller = Caller {
+                        node: n,
+                        process,
+                        call: *call,
+                    };
+                    if !self.open_calls.remove(&caller) {
+                        return Ok(());
+                    }
+                }
+                self.step(n, process, input);
+                Ok(())
+            }
+            Ev::State(caller, method, path, body) => {
+                self.state_request(caller, method, &path, &body);
+                Ok(())
+            }
+            Ev::Cloud(caller, method, path, body) => {
+                let (status, body) = self.cloud_request(method, &path, &body);
+                self.reply(caller, "cloud", 100 * MS, status, body);
+                Ok(())
+            }
+            Ev::Worker(caller, address, body) => self.direct(caller, &address, &body),
+            Ev::Request {
+                node,
+                door,
+                method,
+                path,
+                body,
+                asker,
+            } => {
+                if self.slots[node].node.is_none() {
+                    return self.answered(asker, node, 0, Vec::new());
+                }
+                self.next_request += 1;
+                let id = self.next_request;
+                self.requests.insert((node, id), asker);
+                let process = self.slots[node].process;
+                let input = Input::Request {
+                    id,
+                    door,
+                    method,
+                    path,
+                    body,
+                };
+                self.step(node, process, input);
+                Ok(())
+            }
+            Ev::Answered(asker, node, status, body) => self.answered(asker, node, status, body),
+            Ev::Script(line) => {
+                let number = line.number;
+                self.script(line).map_err(|e| format!("line {number}: {e}"))
+            }
+            Ev::StateUp => {
+                self.state.recover(self.now);
+                Ok(())
+            }
+            Ev::CloudUp => {
+                self.cloud_down = false;
+                Ok(())
+            }
+            Ev::RetrySubmit(job) => {
+                self.submit(&job);
+                Ok(())
+            }
+            Ev::RetryCancel(job) => {
+                self.cancel(&job);
+                Ok(())
+            }
+        }
+    }
+
+    // ---- controllers ----
+
+    fn step(&mut self, n: usize, process: u64, input: Input) {
+        let now = Now {
+            steady: self.now,
+            wall: WALL + self.now,
+        };
+        let slot = &mut self.slots[n];
+        if slot.process != process {
+            return;
+        }
+        let Some(node) = &mut slot.node else { return };
+        let effects = node.step(now, input, &mut NoStopwatch);
+        for effect in effects {
+            match effect {
+                Effect::Answer {
+                    id, status, body, ..
+                } => {
+                    if let Some(asker) = self.requests.remove(&(n, id)) {
+                        self.push(self.now + MS, Ev::Answered(asker, n, status, body));
+                    }
+                }
+                Effect::Call(call) => {
+                    let caller = Caller {
+                        node: n,
+                        process,
+                        call: call.id,
+                    };
+                    self.open_calls.insert(caller);
+                    let unknown = Input::Reply {
+                        call: call.id,
+                        outcome: Outcome::Unknown,
+                    };
+                    self.push(self.now + call.timeout, Ev::Input(n, process, unknown));
+                    self.send(caller, call);
+                }
+            }
+        }
+    }
+
+    /// When a message over this link arrives: never if the link is cut, late if the cut holds it.
+    fn arrival(&self, node: usize, what: &str, delay: Micros) -> Option<Micros> {
+        let cut = self
+            .cuts
+            .iter()
+            .find(|c| c.node == node && self.now < c.until && (c.what == what || c.what == "all"));
+        match cut {
+            None => Some(self.now + delay),
+            Some(c) if c.hold => Some(c.until + delay),
+            Some(_) => None,
+        }
+    }
+
+    fn send(&mut self, caller: Caller, call: grebewood_core::Call) {
+        let n = caller.node;
+        match call.target {
+            Target::State => {
+                let Some(mut at) = self.arrival(n, "state", 2 * MS) else {
+                    return;
+                };
+                if call.path == "/txn" && self.leads(n) {
+                    if let Some(late) = self.late_txn.take() {
+                        // It is carried out late, and its answer reaches nobody.
+                        let nobody = Caller {
+                            node: n,
+                            process: 0,
+                            call: call.id,
+                        };
+                        let ev = Ev::State(nobody, call.method, call.path, call.body);
+                        self.push(at + late, ev);
+                        return;
+                    }
+                    let text = String::from_utf8_lossy(&call.body).into_owned();
+                    if self.trap_page_write && text.contains("page/") {
+                        self.trap_page_write = false;
+                        // The write happens, and its writer dies before it learns of it.
+                        self.push(at, Ev::State(caller, call.method, call.path, call.body));
+                        at += MS;
+                        let line = Line {
+                            words: vec!["crash".into(), n.to_string()],
+                            ..Line::default()
+                        };
+                        self.push(at, Ev::Script(line));
+                        return;
+                    }
+                }
+                self.push(at, Ev::State(caller, call.method, call.path, call.body));
+            }
+            Target::Cloud => {
+                if let Some(at) = self.arrival(n, "cloud", 100 * MS) {
+                    self.push(at, Ev::Cloud(caller, call.method, call.path, call.body));
+                }
+            }
+            Target::Worker(address) => {
+                if let Some(at) = self.arrival(n, "workers", 2 * MS) {
+                    self.push(at, Ev::Worker(caller, address, call.body));
+                }
+            }
+            Target::Peer(p) => {
+                let to = (0..self.slots.len()).filter(|o| *o != n).nth(p);
+                let (Some(to), Some(_)) = (to, self.arrival(n, "peers", MS)) else {
+                    return;
+                };
+                if let Some(at) = self.arrival(to, "peers", MS) {
+                    let ev = Ev::Request {
+                        node: to,
+                        door: Door::Peer,
+                        method: call.method.into(),
+                        path: call.path,
+                        body: call.body,
+                        asker: Asker::Peer(caller),
+                    };
+                    self.push(at, ev);
+                }
+            }
+        }
+    }
+
+    fn reply(&mut self, caller: Caller, what: &str, delay: Micros, status: u16, body: Vec<u8>) {
+        if let Some(at) = self.arrival(caller.node, what, delay) {
+            let input = Input::Reply {
+                call: caller.call,
+                outcome: Outcome::Answer { status, body },
+            };
+            self.push(at, Ev::Input(caller.node, caller.process, input));
+        }
+    }
+
+    fn leads(&self, n: usize) -> bool {
+        self.slots[n]
+            .node
+            .as_ref()
+            .is_some_and(|node| node.lead.is_some())
+    }
+
+    fn state_request(&mut self, caller: Caller, method: &str, path: &str, body: &[u8]) {
+        let refused = self
+            .refused
+            .iter()
+            .any(|(n, until)| *n == caller.node && self.now < *until);
+        if refused {
+            if !path.starts_with("/changes") {
+                self.reply(caller, "state", 2 * MS, 503, Vec::new());
+            }
+            return;
+        }
+        self.seq += 1;
+        let ticket = self.seq;
+        match self.state.request(self.now, ticket, method, path, body) {
+            Reply::Now(status, body) => self.reply(caller, "state", 2 * MS, status, body),
+            Reply::Later => {
+                self.state_tickets.insert(ticket, caller);
+            }
+        }
+    }
+
+    // ---- users ----
+
+    fn up_nodes(&self) -> Vec<usize> {
+        (0..self.slots.len())
+            .filter(|n| self.slots[*n].node.is_some())
+            .collect()
+    }
+
+    fn any_node(&mut self) -> usize {
+        let up = self.up_nodes();
+        self.seq += 1;
+        up.get(self.seq as usize % up.len().max(1))
+            .copied()
+            .unwrap_or(0)
+    }
+
+    fn ask(&mut self, node: usize, method: &str, path: String, body: Vec<u8>, asker: Asker) {
+        let ev = Ev::Request {
+            node,
+            door: Door::Front,
+            method: method.into(),
+            path,
+            body,
+            asker,
+        };
+        self.push(self.now + MS, ev);
+    }
+
+    fn submit(&mut self, job: &str) {
+        let Some(seen) = self.jobs.get(job) else {
+            return;
+        };
+        let body = to_cbor(&seen.spec);
+        let node = self.any_node();
+        let asker = Asker::Submit(job.into());
+        self.ask(node, "POST", "/submissions".into(), body, asker);
+    }
+
+    fn cancel(&mut self, job: &str) {
+        let node = self.any_node();
+        let asker = Asker::Cancel(job.into());
+        let path = format!("/submissions/{job}/cancel");
+        self.ask(node, "POST", path, Vec::new(), asker);
+    }
+
+    /// Checks what a user is told about a job.
+    fn told(&mut self, job: &str, status: &str) -> Result<(), String> {
+        let now = self.now;
+        let Some(seen) = self.jobs.get_mut(job) else {
+            return Err(format!("invented: {job} is said to be {status}"));
+        };
+        match status {
+            "done" => {
+                if seen.completed.len() as u64 != seen.spec.shards {
+                    return Err(format!("not_done: {job} is said to be done"));
+                }
+                if seen.cancelled_at.is_some() {
+                    return Err(format!("went_back: {job} is done after it was cancelled"));
+                }
+                seen.done = true;
+            }
+            "aborted" => {
+                if seen.done {
+                    return Err(format!("went_back: {job} is cancelled after it was done"));
+                }
+                seen.cancelled_at.get_or_insert(now);
+            }
+            _ if seen.done || seen.cancelled_at.is_some() => {
+                return Err(format!("went_back: {job} is {status} after it was over"));
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn answered(
+        &mut self,
+        asker: Asker,
+        node: usize,
+        status: u16,
+        body: Vec<u8>,
+    ) -> Result<(), String> {
+        let said = || {
+            let map: BTreeMap<String, grebewood_wire::Value> = from_cbor(&body).unwrap_or_default();
+            map.get("status")
+                .and_then(|v| v.as_text().map(str::to_string))
+                .unwrap_or_default()
+        };
+        match asker {
+            Asker::Submit(job) => match status {
+                200 | 201 => {
+                    if let Some(seen) = self.jobs.get_mut(&job) {
+                        seen.accepted = true;
+                    }
+                    self.told(&job, &said())?;
+                }
+                400 | 422 if self.jobs.get(&job).is_some_and(|j| j.accepted) => {
+                    return Err(format!("forgotten: {job} gets {status}"));
+                }
+                400 | 422 => {}
+                _ => self.push(self.now + S, Ev::RetrySubmit(job)),
+            },
+            Asker::Cancel(job) => match status {
+                200 => self.told(&job, &said())?,
+                404 if self.jobs.get(&job).is_some_and(|j| j.accepted) => {
+                    return Err(format!("forgotten: {job} cannot be cancelled"));
+                }
+                404 => {}
+                _ => self.push(self.now + S, Ev::RetryCancel(job)),
+            },
+            Asker::Expect(job, wanted, line) => {
+                if status == 404 && self.jobs.get(&job).is_some_and(|j| j.accepted) {
+                    return Err(format!("forgotten: {job} gets 404"));
+                }
+                let got = if status == 200 {
+                    let s: JobStatus =
+                        from_cbor(&body).map_err(|e| format!("a poll's answer: {e}"))?;
+                    self.told(&job, &s.status)?;
+                    s.status
+                } else {
+                    status.to_string()
+                };
+                if got != wanted {
+                    return Err(format!(
+                        "line {line}: perch-{node} says {got} of {job}, not {wanted}"
+                    ));
+                }
+                self.met += 1;
+            }
+            Asker::Raw(wanted, line) => {
+                if status != wanted {
+                    return Err(format!("line {line}: got {status}, not {wanted}"));
+                }
+                self.met += 1;
+            }
+            Asker::Worker { machine, flight } => {
+                if let Some(at) = self.arrival(node, "workers", MS) {
+                    if at > self.now + S {
+                        return Ok(()); // the worker drops it
+                    }
+                    return self.worker_answer(&machine, flight, node, status, &body);
+                }
+            }
+            Asker::Peer(caller) => {
+                if self.arrival(node, "peers", MS).is_some() {
+                    self.reply(caller, "peers", MS, status, body);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    // ---- workers ----
+
+    fn worker_answer(
+        &mut self,
+        name: &str,
+        flight: u64,
+        node: usize,
+        status: u16,
+        body: &[u8],
+    ) -> Result<(), String> {
+        let now = self.now;
+        let nodes = self.slots.len();
+        let Some(m) = self.machines.get_mut(name) else {
+            return Ok(());
+        };
+        let Some((id, sent, tenure)) = m.in_flight else {
+            return Ok(());
+        };
+        if id != flight || m.gone || tenure != m.tenure {
+            return Ok(());
+        }
+        if self.lose_answer.remove(name) {
+            return Ok(());
+        }
+        m.in_flight = None;
+        if now < m.hangs_until {
+            return Ok(());
+        }
+        match status {
+            200 => {
+                let answer: CheckinAnswer =
+                    from_cbor(body).map_err(|e| format!("a check-in's answer: {e}"))?;
+                if answer.warrant < m.warrant {
+                    return Ok(());
+                }
+                m.warrant = answer.warrant;
+                m.lease_from = sent;
+                let came = m.carry_out(now, &answer.orders, &self.facts);
+                self.came(name, &came)
+            }
+            421 => {
+                let steward = from_cbor::<Redirect>(body).ok().and_then(|r| r.steward);
+                let to = steward
+                    .and_then(|s| s.strip_prefix("perch-").and_then(|n| n.parse().ok()))
+                    .filter(|n| *n != node && *n < nodes);
+                match to {
+                    Some(n) => {
+                        m.node = n;
+                        m.next_report = now + 100 * MS;
+                    }
+                    None => {
+                        m.node = (node + 1) % nodes;
+                        m.next_report = now + S;
+                    }
+                }
+                Ok(())
+            }
+            _ => {
+                m.node = (node + 1) % nodes;
+                m.next_report = now + S;
+                Ok(())
+            }
+        }
+    }
+
+    /// Tasks came onto a machine: checks the rules of starting.
+    fn came(&mut self, name: &str, shards: &[String]) -> Result<(), String> {
+        let Some(here) = self.machines.get(name) else {
+            return Ok(());
+        };
+        for shard in shards {
+            let Some((job, _)) = shard.rsplit_once('/') else {
+                continue;
+            };
+            let live = |m: &&Machine| !m.gone;
+            for m in self.machines.values().filter(live) {
+                if m.name != name && m.live().any(|t| t.shard == *shard) {
+                    return Err(format!("ran_twice: {shard} on {} and {name}", m.name));
+                }
+            }
+            let Some(seen) = self.jobs.get_mut(job) else {
+                return Err(format!("{shard} of an unknown job"));
+            };
+            seen.starts += 1;
+            let spec = &seen.spec;
+            if seen.cancelled_at.is_some_and(|at| self.now > at + CANCEL) {
+                return Err(format!("ran_cancelled: {shard} starts"));
+            }
+            let allowed = spec
+                .builds
+                .as_ref()
+                .is_none_or(|b| b.contains(&here.machine_type))
+                && spec.yard.as_ref().is_none_or(|y| *y == here.zone)
+                && (spec.loaner || !here.spot);
+            if !allowed {
+                return Err(format!("wrong_place: {shard} on {name}"));
+            }
+            let prefix = format!("{job}/");
+            let mut zones: BTreeMap<&str, u64> = BTreeMap::new();
+            for m in self.machines.values().filter(live) {
+                let n = m.live().filter(|t| t.shard.starts_with(&prefix)).count();
+                if n > 0 {
+                    *zones.entry(&m.zone).or_insert(0) += n as u64;
+                }
+            }
+            if spec.one_zone && zones.len() > 1 {
+                return Err(format!("wrong_place: {job} in several zones"));
+            }
+            if spec.spread && zones.values().any(|n| *n > spec.shards.div_ceil(2)) {
+                return Err(format!("wrong_place: {job} is not spread"));
+            }
+        }
+        for (team, limit) in &self.settings.teams {
+            let used: f64 = self
+                .machines
+                .values()
+                .filter(|m| !m.gone)
+                .flat_map(|m| m.live())
+                .filter(|t| {
+                    let job = t.shard.rsplit_once('/').map_or("", |(j, _)| j);
+                    self.jobs.get(job).is_some_and(|j| j.spec.owner == *team)
+                })
+                .map(|t| t.cpus)
+                .sum();
+            if used > limit.cpus_max + 1e-6 {
+                return Err(format!("quota: {team} uses {used}"));
+            }
+        }
+        Ok(())
+    }
+
+    fn direct(&mut self, caller: Caller, address: &str, body: &[u8]) -> Result<(), String> {
+        let now = self.now;
+        let name = address.trim_start_matches("worker:").to_string();
+        let Some(m) = self.machines.get_mut(&name) else {
+            return Ok(());
+        };
+        if m.gone || !m.up {
+            return Ok(());
+        }
+        if now < m.hangs_until {
+            // Carried out when the machine resumes.
+            let at = m.hangs_until + MS;
+            self.push(at, Ev::Worker(caller, address.into(), body.to_vec()));
+            return Ok(());
+        }
+        let Ok(orders) = from_cbor::<DirectOrders>(body) else {
+            return Ok(());
+        };
+        let (status, came) = if orders.warrant < m.warrant || orders.tenure != m.tenure {
+            (409, Vec::new())
+        } else {
+            m.warrant = orders.warrant;
+            (200, m.carry_out(now, &orders.orders, &self.facts))
+        };
+        let report = to_cbor(&m.report(now));
+        self.reply(caller, "workers", 2 * MS, status, report);
+        self.came(&name, &came)
+    }
+
+    fn tick(&mut self) -> Result<(), String> {
+        let now = self.now;
+        self.state.expire(now);
+        for (ticket, body) in self.state.ready(now) {
+            if let Some(caller) = self.state_tickets.remove(&ticket) {
+                self.reply(caller, "state", 2 * MS, 200, body);
+            }
+        }
+        for n in 0..self.slots.len() {
+            let process = self.slots[n].process;
+            let due = self.slots[n]
+                .node
+                .as_ref()
+                .is_some_and(|node| node.next_wake() <= now);
+            if due {
+                self.step(n, process, Input::Tick);
+            }
+        }
+        let names: Vec<String> = self.machines.keys().cloned().collect();
+        for name in names {
+            self.tick_machine(&name)?;
+        }
+        // Cancelled tasks must be gone in time.
+        for m in self.machines.values().filter(|m| !m.gone) {
+            for t in m.live() {
+                let job = t.shard.rsplit_once('/').map_or("", |(j, _)| j);
+                let told = self.jobs.get(job).and_then(|j| j.cancelled_at);
+                if told.is_some_and(|at| now > at + CANCEL) {
+                    return Err(format!("ran_cancelled: {} is on {}", t.shard, m.name));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn tick_machine(&mut self, name: &str) -> Result<(), String> {
+        let now = self.now;
+        let Some(m) = self.machines.get_mut(name) else {
+            return Ok(());
+        };
+        if !m.up && !m.gone && m.up_at.is_some_and(|at| at <= now) {
+            m.up = true;
+            m.lease_from = now;
+            m.next_report = now;
+        }
+        if m.recall_at.is_some_and(|at| at <= now) {
+            m.gone = true;
+        }
+        if !m.up || m.gone {
+            return Ok(());
+        }
+        let (done, changed) = m.advance(now, LEASE, &self.facts);
+        for shard in done {
+            if let Some((job, _)) = shard.rsplit_once('/') {
+                if let Some(seen) = self.jobs.get_mut(job) {
+                    seen.completed.insert(shard);
+                }
+            }
+        }
+        if now < m.hangs_until {
+            return Ok(());
+        }
+        if changed || m.told_warrant < m.warrant {
+            m.next_report = m.next_report.min((m.last_report + S / 2).max(now));
+        }
+        if let Some((_, sent, _)) = m.in_flight {
+            if now < sent + 4 * S {
+                return Ok(());
+            }
+            m.in_flight = None;
+            m.node = (m.node + 1) % self.slots.len();
+            m.next_report = now + S;
+        }
+        if now < m.next_report {
+            return Ok(());
+        }
+        self.seq += 1;
+        let flight = self.seq;
+        m.in_flight = Some((flight, now, m.tenure));
+        m.last_report = now;
+        m.next_report = now + REPORT;
+        m.told_warrant = m.warrant;
+        let body = to_cbor(&m.report(now));
+        let node = m.node;
+        let asker = Asker::Worker {
+            machine: name.into(),
+            flight,
+        };
+        let ev = |body| Ev::Request {
+            node,
+            door: Door::Front,
+            method: "POST".into(),
+            path: "/checkin".into(),
+            body,
+            asker: asker.clone(),
+        };
+        if let Some(late) = self.late_report.remove(name) {
+            let copy = ev(body.clone());
+            self.push(now + late, copy);
+        }
+        if let Some(at) = self.arrival(node, "workers", MS) {
+            let ev = ev(body);
+            self.push(at, ev);
+        }
+        Ok(())
+    }
+
+    // ---- the cloud ----
+
+    fn cloud_request(&mut self, method: &str, path: &str, body: &[u8]) -> (u16, Vec<u8>) {
+        let error = |text: &str| to_cbor(&BTreeMap::from([("error", text)]));
+        if self.cloud_down {
+            return (503, error("trouble"));
+        }
+        match (method, path.split('?').next().unwrap_or("")) {
+            ("GET", "/machine_types") => {
+                let builds = self.types.clone();
+                (200, to_cbor(&grebewood_wire::http::Catalogue { builds }))
+            }
+            ("GET", "/rentals") => {
+                let lag = 3 * S;
+                let perches = self
+                    .machines
+                    .values()
+                    .filter(|m| !m.gone && self.now >= m.requested + lag.min(m.requested))
+                    .map(|m| ListedMachine {
+                        uid: m.name.clone(),
+                        endpoint: Some(format!("worker:{}", m.name)),
+                        build: m.machine_type.clone(),
+                        yard: m.zone.clone(),
+                        loaner: m.spot,
+                        status: if m.up { "running" } else { "starting" }.into(),
+                        held_s: (self.now - m.requested) as f64 / 1e6,
+                    })
+                    .collect();
+                let list = MachineList {
+                    perches,
+                    more: false,
+                };
+                (200, to_cbor(&list))
+            }
+            ("POST", "/rentals/release") => {
+                let names = from_cbor::<Perches>(body).map(|p| p.perches);
+                for name in names.unwrap_or_default() {
+                    if let Some(m) = self.machines.get_mut(&name) {
+                        m.gone = true;
+                    }
+                }
+                (200, to_cbor(&BTreeMap::<String, u64>::new()))
+            }
+            ("POST", "/rentals") => {
+                let Ok(r) = from_cbor::<RentalRequest>(body) else {
+                    return (400, error("malformed"));
+                };
+                if let Some(known) = self.hires.get(&r.hire) {
+                    let perches = known.clone();
+                    return (200, to_cbor(&Perches { perches }));
+                }
+                let most = self
+                    .capacity
+                    .get(&(r.build.clone(), r.loaner))
+                    .copied()
+                    .unwrap_or(0);
+                let used = self
+                    .machines
+                    .values()
+                    .filter(|m| !m.gone && m.machine_type == r.build && m.spot == r.loaner)
+                    .count() as u64;
+                let n = r.number.min(most.saturating_sub(used));
+                if n == 0 {
+                    return (503, error("no capacity"));
+                }
+                let perches: Vec<String> = (0..n)
+                    .map(|_| self.rent(&r.build, &r.yard, r.loaner))
+                    .collect();
+                self.hires.insert(r.hire, perches.clone());
+                (200, to_cbor(&Perches { perches }))
+            }
+            _ => (404, Vec::new()),
+        }
+    }
+
+    // ---- the script ----
+
+    fn node_named(&self, word: &str) -> Result<usize, String> {
+        if word == "leader" {
+            return (0..self.slots.len())
+                .find(|n| self.leads(*n))
+                .ok_or("nobody leads".into());
+        }
+        let n = word.trim_start_matches("perch-").parse::<usize>();
+        n.ok()
+            .filter(|n| *n < self.slots.len())
+            .ok_or(format!("{word}: no such node"))
+    }
+
+    fn machine_mut(&mut self, name: &str) -> Result<&mut Machine, String> {
+        self.machines
+            .get_mut(name)
+            .ok_or(format!("{name}: no such machine"))
+    }
+
+    fn script(&mut self, line: Line) -> Result<(), String> {
+        let now = self.now;
+        match line.word(0)? {
+            "submit" => {
+                let job = line.word(1)?.to_string();
+                if !self.jobs.contains_key(&job) {
+                    self.add_job(&job, &line)?;
+                }
+                self.submit(&job);
+            }
+            "cancel" => self.cancel(line.word(1)?),
+            "expect" => {
+                let (job, status) = (line.word(1)?.to_string(), line.word(2)?.to_string());
+                for n in self.up_nodes() {
+                    self.expected += 1;
+                    let asker = Asker::Expect(job.clone(), status.clone(), line.number);
+                    self.ask(n, "GET", format!("/submissions/{job}"), Vec::new(), asker);
+                }
+            }
+            "request" => {
+                let status = line.word(3)?.parse().map_err(|_| "no status".to_string())?;
+                let body = match line.words.get(4) {
+                    None => Vec::new(),
+                    Some(hex) => (0..hex.len() / 2)
+                        .map(|i| u8::from_str_radix(&hex[2 * i..2 * i + 2], 16))
+                        .collect::<Result<_, _>>()
+                        .map_err(|e| e.to_string())?,
+                };
+                for n in self.up_nodes() {
+                    self.expected += 1;
+                    let asker = Asker::Raw(status, line.number);
+                    let (method, path) = (line.word(1)?.to_string(), line.word(2)?.to_string());
+                    self.ask(n, &method, path, body.clone(), asker);
+                }
+            }
+            "starts" => {
+                let got = self.jobs.get(line.word(1)?).map_or(0, |j| j.starts);
+                let wanted: u64 = line.word(2)?.parse().map_err(|_| "no number".to_string())?;
+                if got != wanted {
+                    return Err(format!("{got} starts, not {wanted}"));
+                }
+            }
+            "leaders" => {
+                let got = (0..self.slots.len()).filter(|n| self.leads(*n)).count();
+                if got.to_string() != line.word(1)? {
+                    return Err(format!("{got} nodes lead"));
+                }
+            }
+            "machines" => {
+                let got = self.machines.values().filter(|m| !m.gone).count();
+                if got.to_string() != line.word(1)? {
+                    return Err(format!("{got} machines are rented"));
+                }
+            }
+            "crash" => {
+                let nodes = match line.word(1)? {
+                    "all" => (0..self.slots.len()).collect(),
+                    word => vec![self.node_named(word)?],
+                };
+                for n in nodes {
+                    self.slots[n].node = None;
+                    self.slots[n].process = 0;
+                    let lost: Vec<_> = self
+                        .requests
+                        .keys()
+                        .filter(|(node, _)| *node == n)
+                        .cloned()
+                        .collect();
+                    for key in lost {
+                        if let Some(asker) = self.requests.remove(&key) {
+                            self.push(now + MS, Ev::Answered(asker, n, 0, Vec::new()));
+                        }
+                    }
+                    self.push(now + line.time("for", 4.0)?, Ev::Start(n));
+                }
+            }
+            "cut" => {
+                let cut = Cut {
+                    node: self.node_named(line.word(1)?)?,
+                    what: line.word(2)?.into(),
+                    until: now + line.time("for", 10.0)?,
+                    hold: line.yes("hold", false),
+                };
+                self.cuts.push(cut);
+            }
+            "refuse" => {
+                let n = self.node_named(line.word(1)?)?;
+                self.refused.push((n, now + line.time("for", 10.0)?));
+            }
+            "state" => {
+                self.state.down = true;
+                self.push(now + line.time("for", 10.0)?, Ev::StateUp);
+            }
+            "cloud" => {
+                self.cloud_down = true;
+                self.push(now + line.time("for", 10.0)?, Ev::CloudUp);
+            }
+            "trap" => self.trap_page_write = true,
+            "late" => match line.word(1)? {
+                "txn" => self.late_txn = Some(line.time("for", 10.0)?),
+                _ => {
+                    let name = line.word(2)?.to_string();
+                    self.late_report.insert(name, line.time("for", 10.0)?);
+                }
+            },
+            "lose" => {
+                self.lose_answer.insert(line.word(2)?.into());
+            }
+            "hang" => {
+                let until = now + line.time("for", 5.0)?;
+                self.machine_mut(line.word(1)?)?.hangs_until = until;
+            }
+            "faulty" => self.machine_mut(line.word(1)?)?.faulty = true,
+            "kill" => self.machine_mut(line.word(1)?)?.gone = true,
+            "recall" => {
+                let at = now + line.time("in", 10.0)?;
+                self.machine_mut(line.word(1)?)?.recall_at = Some(at);
+            }
+            "boots" => match line.word(1)?.parse::<f64>() {
+                Ok(s) => {
+                    self.boots_never = false;
+                    self.boot = (s * 1e6) as Micros;
+                }
+                Err(_) => self.boots_never = true,
+            },
+            "corrupt" => {
+                if !self.state.corrupt(line.word(1)?) {
+                    return Err("no such record".into());
+                }
+            }
+            "record" => {
+                let there = self.state.has(line.word(1)?);
+                if there != (line.word(2)? == "yes") {
+                    return Err(format!("the record's presence is {there}"));
+                }
+            }
+            other => return Err(format!("{other}: unknown")),
+        }
+        Ok(())
+    }
+
+    fn add_job(&mut self, job: &str, line: &Line) -> Result<(), String> {
+        let run = line.number("run", 5.0)?;
+        let precedence = match line.text("prec", "normal").as_str() {
+            "idle" => Precedence::Idle,
+            "high" => Precedence::High,
+            "prod" => Precedence::Prod,
+            _ => Precedence::Normal,
+        };
+        let saves = line.yes("saves", false);
+        let spec = Submission {
+            uid: job.into(),
+            workclass: "work".into(),
+            owner: line.text("owner", "t"),
+            shape: line.text("shape", "batch"),
+            precedence,
+            shards: line.number("tasks", 1.0)? as u64,
+            vcpus: line.number("cpus", 2.0)?,
+            accelerators: 0.0,
+            memory_gb: line.number("mem", 1.0)?,
+            bundle: "img".into(),
+            pull_gb: 0.5,
+            builds: line.options.get("type").map(|t| vec![t.clone()]),
+            yard: line.options.get("zone").cloned(),
+            one_zone: line.yes("one_zone", false),
+            spread: line.yes("spread", false),
+            loaner: line.yes("spot", true),
+            expected_s: line.number("expected", run)?,
+            savepoint_s: if saves { 10.0 } else { 0.0 },
+            flush_s: line.number("flush", 2.0)?,
+            due_s: match line.options.contains_key("due") {
+                true => Some(line.number("due", 0.0)?),
+                false => None,
+            },
+        };
+        let facts = JobFacts {
+            cpus: spec.vcpus,
+            run: (run * 1e6) as Micros,
+            flush: (spec.flush_s * 1e6) as Micros,
+            saves,
+            fails: line.yes("fails", false),
+        };
+        self.facts.insert(job.into(), facts);
+        let seen = JobSeen {
+            spec,
+            accepted: false,
+            cancelled_at: None,
+            done: false,
+            completed: BTreeSet::new(),
+            starts: 0,
+        };
+        self.jobs.insert(job.into(), seen);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/testkit/tests/scenarios.rs
@@ -0,0 +1,38 @@
+//! Plays every scenario file.
+
+use std::path::Path;
+
+#[test]
+fn scenarios() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios");
+    let mut files: Vec<_> = std::fs::read_dir(&folder)
+        .expect("the folder of scenarios")
+        .filter_map(|e| e.ok().map(|e| e.path()))
+        .filter(|p| p.extension().is_some_and(|e| e == "txt"))
+        .collect();
+    files.sort();
+    assert!(files.len() >= 20, "only {} scenarios", files.len());
+    let only = std::env::var("SCENARIO").unwrap_or_default();
+    let mut failed = Vec::new();
+    for file in files {
+        let name = file.file_stem().unwrap_or_default().to_string_lossy();
+        if !name.contains(&only) {
+            continue;
+        }
+        let text = std::fs::read_to_string(&file).expect("a scenario");
+        match grebewood_testkit::play(&text) {
+            Ok(()) => println!("{name}: ok"),
+            Err(e) => failed.push(format!("{name}: {e}")),
+        }
+    }
+    assert!(failed.is_empty(), "\n{}", failed.join("\n"));
+}
+
+/// The runner itself must notice what it is there to notice.
+#[test]
+fn the_runner_fails_a_scenario_that_does_not_hold() {
+    let text = "team t cpus=8 max=8\ntype std cpus=8\nmachines std\n\
+                at 3 submit req-1 tasks=1 run=20\nat 10 expect req-1 done\nend 12\n";
+    let error = grebewood_testkit::play(text).expect_err("an unmet expectation");
+    assert!(error.contains("says running of req-1, not done"), "{error}");
+}
