Serve the least work first and let normal jobs preempt savable ones

Cause: the decider gave jobs that were late for every aim an hour, and floored the time of ready machines at a boot and a run, so waiting work looked covered while jobs missed their aims; the queue by deadline alone spread capacity over jobs of which none finished in time. Ruled out: renting more by a lower threshold (service up, price and use down by more), a late deadline of 60 s or 300 s and more.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -188,14 +188,21 @@
     t: f64,
     /// Time to finish in, in seconds.
     d: f64,
+    /// The same for machines that are not up yet: at least a boot and a run, since less cannot
+    /// be met by anything that is rented now.
+    d_booting: f64,
 }
 
 /// Tasks of each work that a machine can finish in time: the paper's `P`, times the slots.
-fn power(work: &[Work], total: f64, delay: f64, slots: impl Fn(usize) -> f64) -> Vec<f64> {
+/// `delay` is what remains of a boot, in seconds, for a machine that is not up.
+fn power(work: &[Work], total: f64, delay: Option<f64>, slots: impl Fn(usize) -> f64) -> Vec<f64> {
     work.iter()
         .enumerate()
         .map(|(i, w)| {
-            let d = (w.d - delay).max(0.0);
+            let d = match delay {
+                None => w.d,
+                Some(delay) => (w.d_booting - delay).max(0.0),
+            };
             if total <= 0.0 {
                 0.0
             } else {
@@ -644,10 +651,13 @@
                 .unwrap_or(0);
             let run = self.stats.expected_run(&j.spec);
             let t = (run + fetch) as f64 / 1e6;
-            let (at, _) = j.target(&cx.settings, cx.tuning.default_deadline_us, now, run);
-            let left = (at - now as i64).max(0) as f64 / 1e6 * cx.tuning.deadline_share;
-            // Less than a boot and a run cannot be met by anything that is rented now.
-            let d = left.max(boot as f64 / 1e6 + t);
+            // What is late for every aim may take longer: it gains nothing by dear machines.
+            let left = match j.target(cx, self.need(cx, j)) {
+                Some(at) => (at - now as i64).max(0) as f64 / 1e6 * cx.tuning.deadline_share,
+                None => cx.tuning.late_deadline_us as f64 / 1e6,
+            };
+            let d = left.max(t * cx.tuning.least_rounds);
+            let d_booting = d.max(boot as f64 / 1e6 + t);
             // Waiting tasks of other shapes need a slot each, now.
             let t = match Shape::of(&j.spec) {
                 Some(Shape::Batch) => t,
@@ -677,6 +687,7 @@
                 n,
                 t,
                 d,
+                d_booting,
             });
         }
         work
@@ -701,7 +712,7 @@
                 continue;
             };
             // Room that is free now counts whole, room freed within `d` by the part of `d` left.
-            let p = power(work, total, 0.0, |i| {
+            let p = power(work, total, None, |i| {
                 let w = &work[i];
                 let all = slots_of(build, &m.zone, m.spot, w.spec);
                 if all <= 0.0 || m.cpus <= 0.0 {
@@ -730,7 +741,7 @@
                 .stats
                 .boot_time(&b.machine_type, micros(build.startup_s));
             let delay = boot.saturating_sub(spent) as f64 / 1e6;
-            add(power(work, total, delay, |i| {
+            add(power(work, total, Some(delay), |i| {
                 slots_of(build, &b.zone, b.spot, work[i].spec)
             }));
         }
@@ -739,7 +750,7 @@
                 continue;
             };
             let boot = self.stats.boot_time(&build.name, micros(build.startup_s));
-            add(power(work, total, boot as f64 / 1e6, |i| {
+            add(power(work, total, Some(boot as f64 / 1e6), |i| {
                 h.record.number as f64
                     * slots_of(build, &h.record.zone, h.record.spot, work[i].spec)
             }));
@@ -799,7 +810,7 @@
                             if closed || asked || planned >= RENT_MOST {
                                 continue;
                             }
-                            let p = power(&work, total, boot, |i| {
+                            let p = power(&work, total, Some(boot), |i| {
                                 slots_of(t, zone, spot, work[i].spec)
                             });
                             // Seconds of work that the machine can do, and that are missing.
@@ -870,21 +881,31 @@
             }
             if m.closing || m.recall_at.is_some() {
                 release.push(m.name.clone());
-            } else if now.saturating_sub(m.idle_since) >= cx.tuning.idle_hold_us
-                && now.saturating_sub(self.loaded_at) >= cx.tuning.idle_hold_us
+                continue;
+            }
+            let hold = match m.spot {
+                true => cx.tuning.idle_hold_us,
+                false => cx.tuning.idle_hold_ordinary_us,
+            };
+            if now.saturating_sub(m.idle_since) >= hold
+                && now.saturating_sub(self.loaded_at) >= hold
             {
                 idle.push((m.spot, m.idle_since, m.name.clone()));
             }
         }
         // Ordinary machines first: they cost more.
         idle.sort();
-        if let Some((_, _, name)) = idle.first() {
+        for (_, _, name) in idle {
             let work = self.waiting_work(cx);
-            let without = self.power_of_fleet(cx, &work, Some(name));
-            if work.iter().zip(&without).all(|(w, p)| *p + EPS >= w.n) {
-                info!("{name}: idle, returned");
-                release.push(name.clone());
+            let without = self.power_of_fleet(cx, &work, Some(&name));
+            if work.iter().zip(&without).any(|(w, p)| *p + EPS < w.n) {
+                break;
+            }
+            info!("{name}: idle, returned");
+            if let Some(m) = self.machines.get_mut(&name) {
+                m.closing = true;
             }
+            release.push(name);
         }
         for name in release {
             if let Some(m) = self.machines.get_mut(&name) {
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -1,5 +1,6 @@
 //! Live jobs: which tasks are done, which are taken, and in what order jobs are served.
 
+use crate::node::Ctx;
 use crate::{micros, Micros, Settings, SECOND};
 use grebewood_wire::http::{MachineType, Precedence, Submission};
 use grebewood_wire::records::{DoneRecord, JobRecord, DONE_SPAN};
@@ -342,42 +343,29 @@
         (now as i64 - self.age_base).max(0) as Micros
     }
 
-    /// When the job should be finished, by its deadline or else by the objectives of its class:
-    /// the earliest aim that it can still meet, with `need` yet to run. The flag says whether
-    /// any aim can be met.
-    pub fn target(
-        &self,
-        settings: &Settings,
-        default: Micros,
-        now: Micros,
-        need: Micros,
-    ) -> (i64, bool) {
-        let mut aims: Vec<Micros> = Vec::new();
+    /// When the job should be finished: the earliest aim that it can still meet with `need` yet
+    /// to run, by its deadline or else by the objectives of its class. None if it is late for
+    /// all of them.
+    pub fn target(&self, cx: &Ctx, need: Micros) -> Option<i64> {
+        let earliest = (cx.now.steady + need) as i64;
+        let reached = |aim: Micros| {
+            let at = self.age_base + aim as i64;
+            (at >= earliest).then_some(at)
+        };
         if let Some(due) = self.spec.due_s {
-            aims.push(micros(due));
-        } else {
-            aims.extend(
-                settings
-                    .objectives
-                    .iter()
-                    .filter(|o| o.class == self.spec.workclass && o.kind == "finished")
-                    .filter_map(|o| o.within),
-            );
-            aims.sort_unstable();
+            return reached(micros(due));
         }
-        let earliest = now as i64 + need as i64;
-        for aim in &aims {
-            let at = self.age_base + *aim as i64;
-            if at >= earliest {
-                return (at, true);
-            }
-        }
-        // Late for every aim: it is served after those that are not, but as if it were new, since
-        // late work still costs whoever waits for it.
-        match aims.last() {
-            Some(last) => (now as i64 + (*last).max(need) as i64, false),
-            None => (self.age_base + default as i64, true),
+        let mut aims = cx
+            .settings
+            .objectives
+            .iter()
+            .filter(|o| o.class == self.spec.workclass && o.kind == "finished")
+            .filter_map(|o| o.within)
+            .peekable();
+        if aims.peek().is_none() {
+            return Some(self.age_base + cx.tuning.default_deadline_us as i64);
         }
+        aims.filter_map(reached).min()
     }
 }
 
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -4,7 +4,7 @@
 //! the free room allow. It has a time budget: a round that runs out of it goes on with the next
 //! job the next time.
 
-use crate::jobs::{fits_type, rank, JobIx, Shape, EPS};
+use crate::jobs::{fits_type, rank, Job, JobIx, Shape, EPS};
 use crate::leadership::Lead;
 use crate::ledger::Rec;
 use crate::node::Ctx;
@@ -155,25 +155,32 @@
         usage
     }
 
-    /// The order in which waiting jobs are served.
-    fn queue(&self, cx: &Ctx, usage: &Usage) -> Vec<JobIx> {
+    /// Time that a job still needs if it gets all the room that its team's limit allows.
+    pub(crate) fn need(&self, cx: &Ctx, job: &Job) -> Micros {
+        let run = self.stats.expected_run(&job.spec);
+        let left = job.tasks().saturating_sub(job.done_count) as f64;
+        let team = cx.settings.teams.get(&job.spec.owner);
+        let most = team.map_or(left, |t| (t.cpus_max / job.spec.vcpus.max(EPS)).floor());
+        let rounds = (left / most.clamp(1.0, 1e6)).max(1.0);
+        (run as f64 * rounds) as Micros
+    }
+
+    /// The order in which waiting jobs are served: by priority; those that can still meet an aim
+    /// before those that cannot; then those with the least work left, since that lets the most
+    /// jobs meet their aims when not all of them can.
+    fn queue(&self, cx: &Ctx) -> Vec<JobIx> {
         let now = cx.now.steady;
-        let mut queue: Vec<((u8, bool, bool, i64), JobIx)> = self
+        let mut queue: Vec<((u8, bool, i64), JobIx)> = self
             .jobs
             .iter()
             .filter(|(_, j)| j.waiting() > 0 && j.retry_at <= now)
             .map(|(ix, j)| {
-                let need = self.stats.expected_run(&j.spec);
-                let (at, feasible) =
-                    j.target(&cx.settings, cx.tuning.default_deadline_us, now, need);
-                let used = usage.get(&j.spec.owner).copied().unwrap_or((0.0, 0.0));
-                let within = cx
-                    .settings
-                    .teams
-                    .get(&j.spec.owner)
-                    .is_some_and(|t| used.0 + j.spec.vcpus <= t.cpus + EPS);
-                let key = (3 - rank(j.spec.precedence), !feasible, !within, at);
-                (key, ix)
+                let need = self.need(cx, j);
+                let feasible = j.target(cx, need).is_some();
+                let left = j.tasks().saturating_sub(j.done_count) as f64;
+                let run = self.stats.expected_run(&j.spec) as f64;
+                let work = (left * j.spec.vcpus * run) as i64;
+                ((3 - rank(j.spec.precedence), !feasible, work), ix)
             })
             .collect();
         queue.sort();
@@ -196,7 +203,7 @@
         }
         self.placement.wanted = false;
         let mut usage = self.usage();
-        let mut queue = self.queue(cx, &usage);
+        let mut queue = self.queue(cx);
         if let Some(from) = self.placement.resume.take() {
             if let Some(at) = queue.iter().position(|ix| *ix == from) {
                 queue.rotate_left(at);
@@ -392,7 +399,7 @@
         let mut least = Precedence::Prod;
         for (_, j) in self.jobs.iter() {
             let waited = j.waiting_since.map_or(0, |at| now.saturating_sub(at));
-            if j.spec.precedence < Precedence::High
+            if j.spec.precedence == Precedence::Idle
                 || j.waiting() == 0
                 || j.retry_at > now
                 || waited < cx.tuning.preempt_after_us
@@ -426,12 +433,17 @@
                     continue;
                 };
                 let ran = a.started.map_or(0, |at| now.saturating_sub(at));
+                // A start counts for an aim only if the task is left alone for 30 s.
+                let least_run = match cx.settings.starts_count(&job.spec.workclass) {
+                    true => 31 * SECOND,
+                    false => 5 * SECOND,
+                };
                 if a.stop.is_some()
                     || job.spec.precedence >= least
                     || job.spec.precedence > Precedence::Normal
                     || job.spec.savepoint_s <= 0.0
                     || a.seen != Seen::Running
-                    || ran < 31 * SECOND
+                    || ran < least_run
                     || a.remaining(now, 0) < 10 * SECOND
                 {
                     continue;
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -47,6 +47,15 @@
     pub list_lag: Micros,
 }
 
+impl Settings {
+    /// Whether an aim counts how soon tasks of the class start.
+    pub fn starts_count(&self, class: &str) -> bool {
+        self.objectives
+            .iter()
+            .any(|o| o.class == class && o.kind == "wait")
+    }
+}
+
 macro_rules! tuning {
     ($($(#[doc = $doc:literal])+ $name:ident : $kind:ident = $default:expr, $low:expr, $high:expr;)*) => {
         /// Operators' settings, from the INI file given with `--tuning`.
@@ -98,10 +107,17 @@
     decider_interval_us: u64 = 2 * SECOND, 100_000, 600 * SECOND;
     /// How long a machine stays idle before it may be returned, in microseconds.
     idle_hold_us: u64 = 20 * SECOND, 0, 3_600 * SECOND;
+    /// The same for an ordinary machine, in microseconds.
+    idle_hold_ordinary_us: u64 = 10 * SECOND, 0, 3_600 * SECOND;
+    /// Time to finish in for a job that is late for every aim, in microseconds.
+    late_deadline_us: u64 = 150 * SECOND, SECOND, 86_400 * SECOND;
     /// Time to finish in for a class that has neither deadline nor objective, in microseconds.
     default_deadline_us: u64 = 3_600 * SECOND, SECOND, 86_400 * SECOND;
     /// Share of the time to a deadline that the decider plans with.
     deadline_share: f64 = 0.6, 0.05, 1.0;
+    /// Tasks that a slot of a ready machine is expected to run one after the other at least,
+    /// however close the deadline.
+    least_rounds: f64 = 1.0, 0.5, 10.0;
     /// Part of a machine that the unmet work must fill before one more is rented.
     rent_threshold: f64 = 0.4, 0.0, 1.0;
     /// What the risk of losing a spot machine adds to its price, as a factor.
