Keep the fleet across a change of leader and free taken machines' tasks early

And tasks of machines taken without notice waited for the end of a lease though the list showed that they were gone.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -44,6 +44,9 @@
     requested: Micros,
     /// When the list last showed it.
     listed: Option<Micros>,
+    /// The list shows it as up: it has yet to report to this leader. However old it is, it is not
+    /// an overdue boot; a new leader once returned its whole fleet as such.
+    up: bool,
 }
 
 /// A rental request.
@@ -230,13 +233,15 @@
         let now = cx.now.steady;
         self.fleet.mute.remove(&report.perch);
         if let Some(boot) = self.fleet.boots.remove(&report.perch) {
-            let took = now.saturating_sub(boot.requested);
-            info!("{}: up after {} s", report.perch, took / SECOND);
-            if let Some(t) = cx.machine_type(&boot.machine_type) {
-                self.stats
-                    .booted(&boot.machine_type, micros(t.startup_s), took);
+            self.placement.want(now);
+            if !boot.up {
+                let took = now.saturating_sub(boot.requested);
+                info!("{}: up after {} s", report.perch, took / SECOND);
+                if let Some(t) = cx.machine_type(&boot.machine_type) {
+                    self.stats
+                        .booted(&boot.machine_type, micros(t.startup_s), took);
+                }
             }
-            self.placement.want(cx.now.steady);
         }
         for h in self.fleet.hires.values_mut() {
             if let Some(unlisted) = &mut h.unlisted {
@@ -472,6 +477,7 @@
                             spot: offer.2,
                             requested,
                             listed: None,
+                            up: false,
                         };
                         self.fleet.boots.entry(machine).or_insert(boot);
                     }
@@ -530,6 +536,7 @@
         let list = std::mem::take(&mut self.fleet.list);
         self.fleet.listed_once = true;
         let old = 4 * cx.settings.list_lag + 30 * SECOND;
+        self.find_taken(cx, &list);
         for p in list {
             for h in self.fleet.hires.values_mut() {
                 if let Some(unlisted) = &mut h.unlisted {
@@ -551,6 +558,7 @@
             }
             if let Some(boot) = self.fleet.boots.get_mut(&p.uid) {
                 boot.listed = Some(now);
+                boot.up = p.status == "running";
             }
             let reported = self
                 .machines
@@ -570,11 +578,39 @@
                     spot: p.loaner,
                     requested: now.saturating_sub(micros(p.held_s)),
                     listed: Some(now),
+                    up: p.status == "running",
                 }
             });
         }
     }
 
+    /// A machine that was listed long ago, is listed no more and does not report has been taken
+    /// without notice. Its release, which costs nothing, gives the proof that frees its tasks,
+    /// earlier than the end of its lease would.
+    fn find_taken(&mut self, cx: &Ctx, list: &[wire::http::ListedMachine]) {
+        let now = cx.now.steady;
+        let listed: BTreeSet<&str> = list.iter().map(|p| p.uid.as_str()).collect();
+        let mut taken = Vec::new();
+        for m in self.machines.values_mut() {
+            if listed.contains(m.name.as_str()) {
+                m.listed.get_or_insert(now);
+                continue;
+            }
+            // A list may be older than the one before it, by as much as the lag allows.
+            let long_ago = 2 * cx.settings.list_lag + 2 * SECOND;
+            if m.listed.is_some_and(|at| now.saturating_sub(at) > long_ago)
+                && now.saturating_sub(m.last_report) > 2 * cx.settings.report + SECOND
+            {
+                taken.push(m.name.clone());
+            }
+        }
+        for name in taken {
+            if self.fleet.release(&name, now) {
+                info!("{name}: gone from the list and silent");
+            }
+        }
+    }
+
     /// Gives up boots that are far overdue, that vanished from the list, or whose machines are
     /// listed as up without ever reporting.
     fn check_boots(&mut self, cx: &mut Ctx) {
@@ -585,7 +621,7 @@
         let mut vanished = Vec::new();
         for (name, b) in &self.fleet.boots {
             let limit = self.overdue_after(cx, &b.machine_type);
-            if now.saturating_sub(b.requested) > limit + limit / 2 {
+            if !b.up && now.saturating_sub(b.requested) > limit + limit / 2 {
                 release.push(name.clone());
             } else if b
                 .listed
@@ -733,14 +769,17 @@
                 continue;
             };
             let spent = now.saturating_sub(b.requested);
-            if spent > self.overdue_after(cx, &b.machine_type) {
+            if !b.up && spent > self.overdue_after(cx, &b.machine_type) {
                 // Overdue boots lose their power and are replaced.
                 continue;
             }
             let boot = self
                 .stats
                 .boot_time(&b.machine_type, micros(build.startup_s));
-            let delay = boot.saturating_sub(spent) as f64 / 1e6;
+            let delay = match b.up {
+                true => 0.0,
+                false => boot.saturating_sub(spent) as f64 / 1e6,
+            };
             add(power(work, total, Some(delay), |i| {
                 slots_of(build, &b.zone, b.spot, work[i].spec)
             }));
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -1272,7 +1272,21 @@
         self.ledger.applied(batch, epoch);
         for (rec, _) in &batch.recs {
             match rec {
-                Rec::Over(ix) => self.job_ended(*ix),
+                Rec::Over(ix) => {
+                    if let Some(j) = self.jobs.get(*ix) {
+                        info!(
+                            "{}: {} after {} s, {} tasks of {} for {}, {} s each",
+                            j.id,
+                            j.ending.map_or("over", Ending::status),
+                            j.age(cx.now.steady) / SECOND,
+                            j.tasks(),
+                            j.spec.workclass,
+                            j.spec.owner,
+                            j.run_mean.0 / SECOND
+                        );
+                    }
+                    self.job_ended(*ix)
+                }
                 Rec::Hire(name) => self.fleet.hire_written(cx.now.steady, name),
                 _ => {}
             }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -392,11 +392,12 @@
         self.page_mut(page).add(name, &assignment);
     }
 
-    /// Stops tasks of lower priority that can save, for jobs of high priority that wait.
+    /// Stops tasks of lower priority that can save, for jobs that wait: for room on machines, or,
+    /// where the team's limit is in the way, for the team's own quota.
     fn preempt(&mut self, cx: &mut Ctx, usage: &Usage) {
         let now = cx.now.steady;
-        let mut wanted: f64 = 0.0;
-        let mut least = Precedence::Prod;
+        let mut room = Demand::default();
+        let mut quota: BTreeMap<String, Demand> = BTreeMap::new();
         for (_, j) in self.jobs.iter() {
             let waited = j.waiting_since.map_or(0, |at| now.saturating_sub(at));
             if j.spec.precedence == Precedence::Idle
@@ -410,20 +411,30 @@
                 continue;
             };
             let used = usage.get(&j.spec.owner).map_or(0.0, |u| u.0);
-            let room = ((team.cpus_max - used) / j.spec.vcpus.max(EPS)).max(0.0);
-            wanted += (j.waiting() as f64).min(room.floor()) * j.spec.vcpus;
-            least = least.min(j.spec.precedence);
+            let free = ((team.cpus_max - used + EPS) / j.spec.vcpus.max(EPS)).max(0.0);
+            let within = (j.waiting() as f64).min(free.floor());
+            let beyond = j.waiting() as f64 - within;
+            room.add(j.spec.precedence, within * j.spec.vcpus);
+            if beyond > 0.0 {
+                quota
+                    .entry(j.spec.owner.clone())
+                    .or_default()
+                    .add(j.spec.precedence, beyond * j.spec.vcpus);
+            }
         }
         // What is being stopped already will be free soon.
         for a in self.machines.values().flat_map(|m| &m.assignments) {
             if a.stop.is_some() {
-                wanted -= a.cpus;
+                room.cpus -= a.cpus;
+                if let Some(d) = quota.get_mut(&a.team) {
+                    d.cpus -= a.cpus;
+                }
             }
         }
-        if wanted <= EPS {
+        if room.cpus <= EPS && quota.values().all(|d| d.cpus <= EPS) {
             return;
         }
-        let mut victims: Vec<(Micros, String, u64, Micros, f64)> = Vec::new();
+        let mut victims: Vec<Victim> = Vec::new();
         for m in self.machines.values() {
             if m.closing || m.recall_at.is_some() {
                 continue;
@@ -439,7 +450,6 @@
                     false => 5 * SECOND,
                 };
                 if a.stop.is_some()
-                    || job.spec.precedence >= least
                     || job.spec.precedence > Precedence::Normal
                     || job.spec.savepoint_s <= 0.0
                     || a.seen != Seen::Running
@@ -448,21 +458,63 @@
                 {
                     continue;
                 }
-                let stop = leeway(micros(job.spec.flush_s));
-                victims.push((ran, m.name.clone(), a.attempt, stop, a.cpus));
+                victims.push(Victim {
+                    ran,
+                    machine: m.name.clone(),
+                    attempt: a.attempt,
+                    team: a.team.clone(),
+                    precedence: job.spec.precedence,
+                    leeway: leeway(micros(job.spec.flush_s)),
+                    cpus: a.cpus,
+                });
             }
         }
-        victims.sort_by(|a, b| a.0.cmp(&b.0).then(a.2.cmp(&b.2)));
-        for (_, name, attempt, stop, cpus) in victims {
-            if wanted <= EPS {
-                break;
+        victims.sort_by_key(|v| (v.ran, v.attempt));
+        for v in victims {
+            let mut stop = false;
+            if let Some(d) = quota.get_mut(&v.team).filter(|d| d.takes(&v)) {
+                d.cpus -= v.cpus;
+                stop = true;
+            } else if room.takes(&v) {
+                room.cpus -= v.cpus;
+                stop = true;
+            }
+            if stop {
+                self.stop_on(cx, &v.machine, v.leeway, |a| a.attempt == v.attempt);
             }
-            wanted -= cpus;
-            self.stop_on(cx, &name, stop, |a| a.attempt == attempt);
         }
     }
 }
 
+/// A task that may be stopped for another.
+struct Victim {
+    ran: Micros,
+    machine: String,
+    attempt: u64,
+    team: String,
+    precedence: Precedence,
+    leeway: Micros,
+    cpus: f64,
+}
+
+/// CPUs that waiting jobs lack, and the lowest priority among those jobs.
+#[derive(Default)]
+struct Demand {
+    cpus: f64,
+    least: Option<Precedence>,
+}
+
+impl Demand {
+    fn add(&mut self, precedence: Precedence, cpus: f64) {
+        self.cpus += cpus;
+        self.least = Some(self.least.map_or(precedence, |l| l.min(precedence)));
+    }
+
+    fn takes(&self, v: &Victim) -> bool {
+        self.cpus > EPS && self.least.is_some_and(|l| v.precedence < l)
+    }
+}
+
 /// Whether the job permits the machine.
 fn permits(cx: &Ctx, spec: &Submission, m: &Machine) -> bool {
     (spec.loaner || !m.spot)
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -114,7 +114,7 @@
     /// Time to finish in for a class that has neither deadline nor objective, in microseconds.
     default_deadline_us: u64 = 3_600 * SECOND, SECOND, 86_400 * SECOND;
     /// Share of the time to a deadline that the decider plans with.
-    deadline_share: f64 = 0.6, 0.05, 1.0;
+    deadline_share: f64 = 0.4, 0.05, 1.0;
     /// Tasks that a slot of a ready machine is expected to run one after the other at least,
     /// however close the deadline.
     least_rounds: f64 = 1.0, 0.5, 10.0;
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -124,7 +124,8 @@
     pub shy_until: Micros,
     /// Ratio of run times here to what was expected.
     pub slowness: f64,
-    pub first_seen: Micros,
+    /// When the cloud's list first showed it.
+    pub listed: Option<Micros>,
 }
 
 impl Machine {
@@ -157,7 +158,7 @@
             errors: Vec::new(),
             shy_until: 0,
             slowness: 1.0,
-            first_seen: now,
+            listed: None,
         }
     }
 
@@ -349,6 +350,7 @@
                 tally: m.tally,
                 knows_token: m.knows_token,
                 closing: m.closing,
+                listed: m.listed,
                 ..known
             };
         }
@@ -867,9 +869,12 @@
         if !self.loaded() || cx.settings.siblings.is_empty() || since <= silence {
             return false;
         }
-        let lately = |m: &&Machine| now.saturating_sub(m.last_report) < silence * 4;
+        // Machines known from state only have yet to find this node: they get more time.
+        let lately = |m: &&Machine| {
+            !m.endpoint.is_empty() && now.saturating_sub(m.last_report) < silence * 4
+        };
         match self.machines.values().filter(lately).count() {
-            0 => false,
+            0 => !self.machines.is_empty() && since > silence * 4,
             // A single machine may well be at fault itself.
             1 => since > silence * 2,
             _ => true,
