--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -244,6 +244,7 @@
             .machines
             .values()
             .filter(|m| m.usable(now, silence) && permits(cx, &spec, m))
+            .filter(|m| m.kept_until <= now || spec.precedence > Precedence::Idle)
             .filter_map(|m| {
                 let slots = slots(m.free(), &spec);
                 let (free, _, _) = m.free();
@@ -392,128 +393,153 @@
         self.page_mut(page).add(name, &assignment);
     }
 
-    /// Stops tasks of lower priority that can save, for jobs that wait: for room on machines, or,
-    /// where the team's limit is in the way, for the team's own quota.
+    /// Stops tasks of lower priority that can save, for jobs that wait for room or for their
+    /// team's quota. Only as much is stopped on a machine as makes room there for a whole task,
+    /// and that room is kept from lower priorities until it is taken: narrow tasks that were
+    /// stopped for a wide one used to come back into the gap, to be stopped again.
     fn preempt(&mut self, cx: &mut Ctx, usage: &Usage) {
         let now = cx.now.steady;
-        let mut room = Demand::default();
-        let mut quota: BTreeMap<String, Demand> = BTreeMap::new();
-        for (_, j) in self.jobs.iter() {
+        let silence = cx.settings.report * 3;
+        let mut stopping: BTreeMap<String, f64> = BTreeMap::new();
+        let mut future: BTreeMap<String, Room> = BTreeMap::new();
+        for m in self.machines.values().filter(|m| m.usable(now, silence)) {
+            let mut room = m.free();
+            for a in m.assignments.iter().filter(|a| a.stop.is_some()) {
+                room = (room.0 + a.cpus, room.1 + a.gpus, room.2 + a.memory);
+                *stopping.entry(a.team.clone()).or_insert(0.0) += a.cpus;
+            }
+            future.insert(m.name.clone(), room);
+        }
+        let mut stops: Vec<(String, u64, Micros)> = Vec::new();
+        for ix in self.queue(cx) {
+            let Some(j) = self.jobs.get(ix) else { continue };
             let waited = j.waiting_since.map_or(0, |at| now.saturating_sub(at));
-            if j.spec.precedence == Precedence::Idle
-                || j.waiting() == 0
-                || j.retry_at > now
+            let spec = &j.spec;
+            if spec.precedence == Precedence::Idle
+                || j.errors >= 3
                 || waited < cx.tuning.preempt_after_us
             {
                 continue;
             }
-            let Some(team) = cx.settings.teams.get(&j.spec.owner) else {
+            let Some(team) = cx.settings.teams.get(&spec.owner) else {
                 continue;
             };
-            let used = usage.get(&j.spec.owner).map_or(0.0, |u| u.0);
-            let free = ((team.cpus_max - used + EPS) / j.spec.vcpus.max(EPS)).max(0.0);
-            let within = (j.waiting() as f64).min(free.floor());
-            let beyond = j.waiting() as f64 - within;
-            room.add(j.spec.precedence, within * j.spec.vcpus);
-            if beyond > 0.0 {
-                quota
-                    .entry(j.spec.owner.clone())
-                    .or_default()
-                    .add(j.spec.precedence, beyond * j.spec.vcpus);
-            }
-        }
-        // What is being stopped already will be free soon.
-        for a in self.machines.values().flat_map(|m| &m.assignments) {
-            if a.stop.is_some() {
-                room.cpus -= a.cpus;
-                if let Some(d) = quota.get_mut(&a.team) {
-                    d.cpus -= a.cpus;
+            let mut need = j.waiting();
+            let mut quota = team.cpus_max - usage.get(&spec.owner).map_or(0.0, |u| u.0)
+                + stopping.get(&spec.owner).copied().unwrap_or(0.0);
+            let task = (spec.vcpus, spec.accelerators, spec.memory_gb);
+            // What is free, or will be, is counted first.
+            for (name, room) in &mut future {
+                if !self
+                    .machines
+                    .get(name)
+                    .is_some_and(|m| permits(cx, spec, m))
+                {
+                    continue;
+                }
+                while need > 0 && quota + EPS >= spec.vcpus && slots(*room, spec) > 0 {
+                    *room = (room.0 - task.0, room.1 - task.1, room.2 - task.2);
+                    quota -= spec.vcpus;
+                    need -= 1;
                 }
             }
-        }
-        if room.cpus <= EPS && quota.values().all(|d| d.cpus <= EPS) {
-            return;
-        }
-        let mut victims: Vec<Victim> = Vec::new();
-        for m in self.machines.values() {
-            if m.closing || m.recall_at.is_some() {
-                continue;
-            }
-            for a in &m.assignments {
-                let Some(job) = self.jobs.get(a.job) else {
+            for (name, room) in &mut future {
+                if need == 0 {
+                    break;
+                }
+                let Some(m) = self.machines.get(name) else {
                     continue;
                 };
-                let ran = a.started.map_or(0, |at| now.saturating_sub(at));
-                // A start counts for an aim only if the task is left alone for 30 s.
-                let least_run = match cx.settings.starts_count(&job.spec.workclass) {
-                    true => 31 * SECOND,
-                    false => 5 * SECOND,
-                };
-                if a.stop.is_some()
-                    || job.spec.precedence > Precedence::Normal
-                    || job.spec.savepoint_s <= 0.0
-                    || a.seen != Seen::Running
-                    || ran < least_run
-                    || a.remaining(now, 0) < 10 * SECOND
-                {
+                if !permits(cx, spec, m) {
                     continue;
                 }
-                victims.push(Victim {
-                    ran,
-                    machine: m.name.clone(),
-                    attempt: a.attempt,
-                    team: a.team.clone(),
-                    precedence: job.spec.precedence,
-                    leeway: leeway(micros(job.spec.flush_s)),
-                    cpus: a.cpus,
-                });
+                let mut victims = self.victims(cx, m, spec);
+                victims.retain(|v| !stops.iter().any(|(_, attempt, _)| *attempt == v.attempt));
+                while need > 0 {
+                    let mut gain = *room;
+                    let mut quota_gain = quota;
+                    let mut count = 0;
+                    for v in &victims {
+                        if slots(gain, spec) > 0 && quota_gain + EPS >= spec.vcpus {
+                            break;
+                        }
+                        count += 1;
+                        gain = (gain.0 + v.cpus, gain.1 + v.gpus, gain.2 + v.memory);
+                        if v.team == spec.owner {
+                            quota_gain += v.cpus;
+                        }
+                    }
+                    if slots(gain, spec) == 0 || quota_gain + EPS < spec.vcpus {
+                        break;
+                    }
+                    for v in victims.drain(..count) {
+                        stops.push((name.clone(), v.attempt, v.leeway));
+                    }
+                    *room = (gain.0 - task.0, gain.1 - task.1, gain.2 - task.2);
+                    quota = quota_gain - spec.vcpus;
+                    need -= 1;
+                }
             }
         }
-        victims.sort_by_key(|v| (v.ran, v.attempt));
-        for v in victims {
-            let mut stop = false;
-            if let Some(d) = quota.get_mut(&v.team).filter(|d| d.takes(&v)) {
-                d.cpus -= v.cpus;
-                stop = true;
-            } else if room.takes(&v) {
-                room.cpus -= v.cpus;
-                stop = true;
+        for (name, attempt, leeway) in stops {
+            if let Some(m) = self.machines.get_mut(&name) {
+                m.kept_until = now + leeway + 4 * SECOND;
             }
-            if stop {
-                self.stop_on(cx, &v.machine, v.leeway, |a| a.attempt == v.attempt);
+            self.stop_on(cx, &name, leeway, |a| a.attempt == attempt);
+        }
+    }
+
+    /// Tasks on the machine that may be stopped for a task of the job, the youngest first.
+    fn victims(&self, cx: &Ctx, m: &Machine, spec: &Submission) -> Vec<Victim> {
+        let now = cx.now.steady;
+        let mut victims = Vec::new();
+        for a in &m.assignments {
+            let Some(job) = self.jobs.get(a.job) else {
+                continue;
+            };
+            let ran = a.started.map_or(0, |at| now.saturating_sub(at));
+            // A start counts for an aim only if the task is left alone for 30 s.
+            let least_run = match cx.settings.starts_count(&job.spec.workclass) {
+                true => 31 * SECOND,
+                false => 5 * SECOND,
+            };
+            if a.stop.is_some()
+                || job.spec.precedence >= spec.precedence
+                || job.spec.savepoint_s <= 0.0
+                || a.seen != Seen::Running
+                || ran < least_run
+                || a.remaining(now, 0) < 10 * SECOND
+            {
+                continue;
             }
+            victims.push(Victim {
+                ran,
+                attempt: a.attempt,
+                team: a.team.clone(),
+                leeway: leeway(micros(job.spec.flush_s)),
+                cpus: a.cpus,
+                gpus: a.gpus,
+                memory: a.memory,
+            });
         }
+        victims.sort_by_key(|v| (v.team != spec.owner, v.ran, v.attempt));
+        victims
     }
 }
 
 /// A task that may be stopped for another.
 struct Victim {
     ran: Micros,
-    machine: String,
     attempt: u64,
     team: String,
-    precedence: Precedence,
     leeway: Micros,
     cpus: f64,
+    gpus: f64,
+    memory: f64,
 }
 
-/// CPUs that waiting jobs lack, and the lowest priority among those jobs.
-#[derive(Default)]
-struct Demand {
-    cpus: f64,
-    least: Option<Precedence>,
-}
-
-impl Demand {
-    fn add(&mut self, precedence: Precedence, cpus: f64) {
-        self.cpus += cpus;
-        self.least = Some(self.least.map_or(precedence, |l| l.min(precedence)));
-    }
-
-    fn takes(&self, v: &Victim) -> bool {
-        self.cpus > EPS && self.least.is_some_and(|l| v.precedence < l)
-    }
-}
+/// CPUs, accelerators and memory.
+type Room = (f64, f64, f64);
 
 /// Whether the job permits the machine.
 fn permits(cx: &Ctx, spec: &Submission, m: &Machine) -> bool {
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -125,7 +125,7 @@
     /// How late a boot may be, as a multiple of the average, before it counts as overdue.
     boot_overdue: f64 = 2.0, 1.0, 100.0;
     /// Shortest wait before a task may preempt others, in microseconds.
-    preempt_after_us: u64 = 2 * SECOND, 0, 600 * SECOND;
+    preempt_after_us: u64 = SECOND / 2, 0, 600 * SECOND;
     /// Time between two reads of the cloud's machine list, in microseconds.
     list_interval_us: u64 = 3 * SECOND, 100_000, 600 * SECOND;
     /// Largest number of machines rented at once, booting ones included.
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -122,6 +122,8 @@
     pub errors: Vec<String>,
     /// Nothing is placed on it before this time, after it refused a task.
     pub shy_until: Micros,
+    /// Idle work is kept off until then: room is being made for work of higher priority.
+    pub kept_until: Micros,
     /// Ratio of run times here to what was expected.
     pub slowness: f64,
     /// When the cloud's list first showed it.
@@ -157,6 +159,7 @@
             closing: false,
             errors: Vec::new(),
             shy_until: 0,
+            kept_until: 0,
             slowness: 1.0,
             listed: None,
         }
