Return idle machines sooner, and empty one at a time while nothing waits

Ruled out: placement by fewest machines per image (no gain), a higher rent threshold, longer time for late jobs (both: idle classes down, no gain in sum).

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -10,7 +10,8 @@
 use crate::leadership::Lead;
 use crate::ledger::Rec;
 use crate::node::{Ctx, LeadCall};
-use crate::placement::slots;
+use crate::placement::{permits, slots};
+use crate::workers::{leeway, Machine};
 use crate::{micros, Micros, Outcome, Target, SECOND};
 use grebewood_wire as wire;
 use grebewood_wire::http::{
@@ -289,6 +290,7 @@
             self.check_boots(cx);
             self.decide(cx);
             self.give_back(cx);
+            self.consolidate(cx);
             self.close_hires(cx);
         }
     }
@@ -953,4 +955,70 @@
             self.fleet.release(&name, now);
         }
     }
+
+    /// Empties one machine whose tasks have room elsewhere while nothing waits, so that it can be
+    /// returned: tasks that can save move, the others run to their end. Ordinary machines
+    /// go first, then the emptiest. A machine's worth of room is left over for what comes next.
+    fn consolidate(&mut self, cx: &mut Ctx) {
+        let now = cx.now.steady;
+        let emptying = self
+            .machines
+            .values()
+            .any(|m| m.closing && !m.assignments.is_empty());
+        let waits = self.jobs.iter().any(|(_, j)| j.waiting() > 0);
+        if emptying || waits || now.saturating_sub(self.loaded_at) < cx.tuning.idle_hold_us {
+            return;
+        }
+        let silence = cx.settings.report * 3;
+        let usable: Vec<&Machine> = self
+            .machines
+            .values()
+            .filter(|m| m.usable(now, silence))
+            .collect();
+        let free: f64 = usable.iter().map(|m| m.free().0).sum();
+        let mut candidates: Vec<(bool, i64, &Machine)> = usable
+            .iter()
+            .filter(|m| !m.assignments.is_empty() && m.free().0 > m.cpus * 0.25)
+            .filter(|m| free - m.free().0 >= 2.0 * m.cpus - m.free().0)
+            .map(|m| (m.spot, -(m.free().0 * 1e3) as i64, *m))
+            .collect();
+        candidates.sort_by(|a, b| (a.0, a.1, &a.2.name).cmp(&(b.0, b.1, &b.2.name)));
+        let mut chosen = None;
+        for (_, _, m) in candidates {
+            let mut stops = Vec::new();
+            let mut rooms: Vec<(&Machine, (f64, f64, f64))> = usable
+                .iter()
+                .filter(|o| o.name != m.name && (o.spot || !m.spot))
+                .map(|o| (*o, o.free()))
+                .collect();
+            let fits = m.assignments.iter().all(|a| {
+                let Some(job) = self.jobs.get(a.job) else {
+                    return true;
+                };
+                let spec = &job.spec;
+                let place = rooms
+                    .iter_mut()
+                    .find(|(o, r)| permits(cx, spec, o) && slots(*r, spec) > 0);
+                let Some((_, r)) = place else { return false };
+                *r = (r.0 - a.cpus, r.1 - a.gpus, r.2 - a.memory);
+                if spec.savepoint_s > 0.0 && a.remaining(now, 0) > 20 * SECOND {
+                    stops.push((a.attempt, leeway(micros(spec.flush_s))));
+                }
+                true
+            });
+            // Without a task to move it would empty as soon by itself.
+            if fits && !stops.is_empty() {
+                chosen = Some((m.name.clone(), stops));
+                break;
+            }
+        }
+        let Some((name, stops)) = chosen else { return };
+        info!("{name}: being emptied, {} tasks move", stops.len());
+        if let Some(m) = self.machines.get_mut(&name) {
+            m.closing = true;
+        }
+        for (attempt, leeway) in stops {
+            self.stop_on(cx, &name, leeway, |a| a.attempt == attempt);
+        }
+    }
 }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -542,7 +542,7 @@
 type Room = (f64, f64, f64);
 
 /// Whether the job permits the machine.
-fn permits(cx: &Ctx, spec: &Submission, m: &Machine) -> bool {
+pub(crate) fn permits(cx: &Ctx, spec: &Submission, m: &Machine) -> bool {
     (spec.loaner || !m.spot)
         && spec.yard.as_ref().is_none_or(|y| *y == m.zone)
         && cx
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -104,11 +104,11 @@
     /// Time budget of one round of placement, in microseconds.
     placement_budget_us: u64 = 4_000, 100, SECOND;
     /// Time between two rounds of the fleet's decider, in microseconds.
-    decider_interval_us: u64 = 2 * SECOND, 100_000, 600 * SECOND;
+    decider_interval_us: u64 = 3 * SECOND, 100_000, 600 * SECOND;
     /// How long a machine stays idle before it may be returned, in microseconds.
-    idle_hold_us: u64 = 20 * SECOND, 0, 3_600 * SECOND;
+    idle_hold_us: u64 = 5 * SECOND, 0, 3_600 * SECOND;
     /// The same for an ordinary machine, in microseconds.
-    idle_hold_ordinary_us: u64 = 10 * SECOND, 0, 3_600 * SECOND;
+    idle_hold_ordinary_us: u64 = 2 * SECOND, 0, 3_600 * SECOND;
     /// Time to finish in for a job that is late for every aim, in microseconds.
     late_deadline_us: u64 = 150 * SECOND, SECOND, 86_400 * SECOND;
     /// Time to finish in for a class that has neither deadline nor objective, in microseconds.
