Release a silent machine with cancelled tasks as soon as its lease has run out

The scenario cancel_unreachable failed after idle machines were returned sooner: with one machine left, its silence looked like a cut of our own, and it was never released.

--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -910,6 +910,14 @@
                 // The worker has seen our token, so only our answers renew its lease, and the
                 // last one is too old: it has killed every task and is in a new session.
                 info!("{name}: lease has run out");
+                // A hanging machine may not know it yet; cancelled tasks must be gone in time.
+                let cancelled = m.assignments.iter().any(|a| {
+                    let job = self.jobs.get(a.job);
+                    job.is_none_or(|j| j.cancelled.is_some())
+                });
+                if cancelled {
+                    self.fleet.release(&name, now);
+                }
                 m.tenure += 1;
                 m.tally = 0;
                 m.reaps.clear();
