Rent cheap machines with haste, the others only for what those leave

Cause: one time to finish for all offers. Conclusion: kept; late work 40 s for cheap offers and 300 s for others, threshold 0.3.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -659,9 +659,16 @@
         (mean as f64 * cx.tuning.boot_overdue) as Micros + 2 * SECOND
     }
 
-    /// The work that waits, job by job.
-    fn waiting_work<'a>(&'a self, cx: &Ctx) -> Vec<Work<'a>> {
+    /// The work that waits, job by job; with `haste` as it is planned for cheap machines.
+    fn waiting_work<'a>(&'a self, cx: &Ctx, haste: bool) -> Vec<Work<'a>> {
         let now = cx.now.steady;
+        let (share, late) = match haste {
+            true => (
+                cx.tuning.deadline_share_cheap,
+                cx.tuning.late_deadline_cheap_us,
+            ),
+            false => (cx.tuning.deadline_share, cx.tuning.late_deadline_us),
+        };
         let usage = self.usage();
         let boot = cx
             .catalogue
@@ -691,8 +698,8 @@
             let t = (run + fetch) as f64 / 1e6;
             // What is late for every aim may take longer: it gains nothing by dear machines.
             let left = match j.target(cx, self.need(cx, j)) {
-                Some(at) => (at - now as i64).max(0) as f64 / 1e6 * cx.tuning.deadline_share,
-                None => cx.tuning.late_deadline_us as f64 / 1e6,
+                Some(at) => (at - now as i64).max(0) as f64 / 1e6 * share,
+                None => late as f64 / 1e6,
             };
             let d = left.max(t * cx.tuning.least_rounds);
             let d_booting = d.max(boot as f64 / 1e6 + t);
@@ -809,82 +816,11 @@
         let Some(catalogue) = cx.catalogue.clone() else {
             return;
         };
-        let plan = {
-            let work = self.waiting_work(cx);
-            if work.is_empty() {
-                return;
-            }
-            let total: f64 = work.iter().map(|w| w.n * w.t).sum();
-            let have = self.power_of_fleet(cx, &work, None);
-            let mut gap: Vec<f64> = work
-                .iter()
-                .zip(&have)
-                .map(|(w, p)| (w.n - p).max(0.0))
-                .collect();
-            let mut plan: BTreeMap<Offer, u64> = BTreeMap::new();
-            let fleet = self.machines.len() + self.fleet.booting();
-            let room = (cx.tuning.fleet_max as usize).saturating_sub(fleet);
-            for _ in 0..room.min(200) {
-                let mut best: Option<(f64, Offer, Vec<f64>)> = None;
-                for t in &catalogue {
-                    let boot = self.stats.boot_time(&t.name, micros(t.startup_s)) as f64 / 1e6;
-                    for zone in &t.yards {
-                        for spot in [true, false] {
-                            let price = match (spot, t.spot_price) {
-                                (true, Some(p)) => p * cx.tuning.spot_risk,
-                                (true, None) => continue,
-                                (false, _) => t.price,
-                            };
-                            let offer = (t.name.clone(), zone.clone(), spot);
-                            let planned = plan.get(&offer).copied().unwrap_or(0);
-                            let closed = self
-                                .fleet
-                                .unavailable
-                                .get(&offer)
-                                .is_some_and(|(until, _)| *until > now);
-                            let asked = self.fleet.hires.values().any(|h| {
-                                h.unlisted.is_none()
-                                    && h.record.machine_type == offer.0
-                                    && h.record.zone == offer.1
-                                    && h.record.spot == offer.2
-                            });
-                            if closed || asked || planned >= RENT_MOST {
-                                continue;
-                            }
-                            let p = power(&work, total, Some(boot), |i| {
-                                slots_of(t, zone, spot, work[i].spec)
-                            });
-                            // Seconds of work that the machine can do, and that are missing.
-                            let can: f64 = p.iter().zip(&work).map(|(p, w)| p * w.t).sum();
-                            let closes: f64 = p
-                                .iter()
-                                .zip(&gap)
-                                .zip(&work)
-                                .map(|((p, g), w)| p.min(*g) * w.t)
-                                .sum();
-                            // Work that no machine can take gets one however little it fills.
-                            let stranded = (0..work.len())
-                                .any(|i| have[i] <= EPS && p[i] > 0.0 && gap[i] >= work[i].n - EPS);
-                            if closes <= 0.0
-                                || (!stranded && closes < can * cx.tuning.rent_threshold)
-                            {
-                                continue;
-                            }
-                            let cost = price / closes;
-                            if best.as_ref().is_none_or(|(c, _, _)| cost < *c) {
-                                best = Some((cost, offer, p));
-                            }
-                        }
-                    }
-                }
-                let Some((_, offer, p)) = best else { break };
-                for (g, p) in gap.iter_mut().zip(p) {
-                    *g = (*g - p).max(0.0);
-                }
-                *plan.entry(offer).or_insert(0) += 1;
-            }
-            plan
-        };
+        // Cheap machines do the work for the same money however many share it, so they are
+        // rented with haste; the others only for what those do not cover in a longer time.
+        let mut plan = BTreeMap::new();
+        self.plan(cx, &catalogue, true, &mut plan);
+        self.plan(cx, &catalogue, false, &mut plan);
         for ((machine_type, zone, spot), number) in plan {
             self.fleet.counter += 1;
             let name = format!("h-{}-{}", self.token, self.fleet.counter);
@@ -910,6 +846,111 @@
         }
     }
 
+    /// Adds machines to the plan while the work exceeds the power, by price per unit of the gap.
+    /// With `haste`, only offers that are about as cheap as the cheapest.
+    fn plan(
+        &self,
+        cx: &Ctx,
+        catalogue: &[MachineType],
+        haste: bool,
+        plan: &mut BTreeMap<Offer, u64>,
+    ) {
+        let now = cx.now.steady;
+        let work = self.waiting_work(cx, haste);
+        if work.is_empty() {
+            return;
+        }
+        let total: f64 = work.iter().map(|w| w.n * w.t).sum();
+        let power_of = |t: &MachineType, zone: &str, spot: bool| {
+            let boot = self.stats.boot_time(&t.name, micros(t.startup_s)) as f64 / 1e6;
+            power(&work, total, Some(boot), |i| {
+                slots_of(t, zone, spot, work[i].spec)
+            })
+        };
+        let mut have = self.power_of_fleet(cx, &work, None);
+        for ((name, zone, spot), number) in plan.iter() {
+            if let Some(t) = catalogue.iter().find(|t| t.name == *name) {
+                for (h, p) in have.iter_mut().zip(power_of(t, zone, *spot)) {
+                    *h += p * *number as f64;
+                }
+            }
+        }
+        let mut gap: Vec<f64> = work
+            .iter()
+            .zip(&have)
+            .map(|(w, p)| (w.n - p).max(0.0))
+            .collect();
+        let mut offers: Vec<(f64, Offer, Vec<f64>)> = Vec::new();
+        let per_cpu = |t: &MachineType, price: f64| price / t.vcpus.max(EPS);
+        let cheapest = catalogue
+            .iter()
+            .map(|t| per_cpu(t, t.spot_price.unwrap_or(t.price).min(t.price)))
+            .fold(f64::MAX, f64::min);
+        for t in catalogue {
+            for zone in &t.yards {
+                for spot in [true, false] {
+                    let price = match (spot, t.spot_price) {
+                        (true, Some(p)) => p,
+                        (true, None) => continue,
+                        (false, _) => t.price,
+                    };
+                    let offer = (t.name.clone(), zone.clone(), spot);
+                    let closed = self
+                        .fleet
+                        .unavailable
+                        .get(&offer)
+                        .is_some_and(|(until, _)| *until > now);
+                    let asked = self.fleet.hires.values().any(|h| {
+                        h.unlisted.is_none()
+                            && h.record.machine_type == offer.0
+                            && h.record.zone == offer.1
+                            && h.record.spot == offer.2
+                    });
+                    if closed || asked || (haste && per_cpu(t, price) > cheapest * 1.5) {
+                        continue;
+                    }
+                    let risk = if spot { cx.tuning.spot_risk } else { 1.0 };
+                    offers.push((price * risk, offer, power_of(t, zone, spot)));
+                }
+            }
+        }
+        let planned: u64 = plan.values().sum();
+        let fleet = self.machines.len() + self.fleet.booting() + planned as usize;
+        let room = (cx.tuning.fleet_max as usize).saturating_sub(fleet);
+        for _ in 0..room.min(200) {
+            let mut best: Option<(f64, usize)> = None;
+            for (at, (price, offer, p)) in offers.iter().enumerate() {
+                if plan.get(offer).is_some_and(|n| *n >= RENT_MOST) {
+                    continue;
+                }
+                // Seconds of work that the machine can do, and those of them that are missing.
+                let can: f64 = p.iter().zip(&work).map(|(p, w)| p * w.t).sum();
+                let closes: f64 = p
+                    .iter()
+                    .zip(&gap)
+                    .zip(&work)
+                    .map(|((p, g), w)| p.min(*g) * w.t)
+                    .sum();
+                // Work that no machine can take gets one however little it fills.
+                let stranded = (0..work.len())
+                    .any(|i| have[i] <= EPS && p[i] > 0.0 && gap[i] >= work[i].n - EPS);
+                if closes <= 0.0 || (!stranded && closes < can * cx.tuning.rent_threshold) {
+                    continue;
+                }
+                let cost = price / closes;
+                if best.is_none_or(|(c, _)| cost < c) {
+                    best = Some((cost, at));
+                }
+            }
+            let Some((_, at)) = best else { break };
+            let (_, offer, p) = &offers[at];
+            for (g, p) in gap.iter_mut().zip(p) {
+                *g = (*g - p).max(0.0);
+            }
+            *plan.entry(offer.clone()).or_insert(0) += 1;
+        }
+    }
+
     /// Returns machines that have been idle for the hold, if the power without them covers the
     /// work; and those that are closing, once they are empty.
     fn give_back(&mut self, cx: &mut Ctx) {
@@ -937,7 +978,7 @@
         // Ordinary machines first: they cost more.
         idle.sort();
         for (_, _, name) in idle {
-            let work = self.waiting_work(cx);
+            let work = self.waiting_work(cx, false);
             let without = self.power_of_fleet(cx, &work, Some(&name));
             if work.iter().zip(&without).any(|(w, p)| *p + EPS < w.n) {
                 break;
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -110,16 +110,20 @@
     /// The same for an ordinary machine, in microseconds.
     idle_hold_ordinary_us: u64 = 2 * SECOND, 0, 3_600 * SECOND;
     /// Time to finish in for a job that is late for every aim, in microseconds.
-    late_deadline_us: u64 = 150 * SECOND, SECOND, 86_400 * SECOND;
+    late_deadline_us: u64 = 300 * SECOND, SECOND, 86_400 * SECOND;
+    /// The same for machines that are about as cheap as the cheapest, in microseconds.
+    late_deadline_cheap_us: u64 = 40 * SECOND, SECOND, 86_400 * SECOND;
     /// Time to finish in for a class that has neither deadline nor objective, in microseconds.
     default_deadline_us: u64 = 3_600 * SECOND, SECOND, 86_400 * SECOND;
     /// Share of the time to a deadline that the decider plans with.
     deadline_share: f64 = 0.4, 0.05, 1.0;
+    /// The same for machines that are about as cheap as the cheapest.
+    deadline_share_cheap: f64 = 0.15, 0.05, 1.0;
     /// Tasks that a slot of a ready machine is expected to run one after the other at least,
     /// however close the deadline.
     least_rounds: f64 = 1.0, 0.5, 10.0;
     /// Part of a machine that the unmet work must fill before one more is rented.
-    rent_threshold: f64 = 0.4, 0.0, 1.0;
+    rent_threshold: f64 = 0.3, 0.0, 1.0;
     /// What the risk of losing a spot machine adds to its price, as a factor.
     spot_risk: f64 = 1.25, 1.0, 10.0;
     /// How late a boot may be, as a multiple of the average, before it counts as overdue.
