Shorten the leader's lease to 2.5 s, and tell restarted peers what runs

Cause: tasks and polls wait for a leader as long as a dead one's lease lasts; renewals go out every quarter of it and need under 10 ms, now and then a few hundred. The scenario leader_dies_while_tasks_run then showed that a node which was away when the leader told its peers about a job called it pending until something changed: everything goes out again every 4 s (scenario progress_after_restart).

--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -159,6 +159,7 @@
     pub next_machine_check: Micros,
     progress_at: Micros,
     progress_sent: BTreeMap<String, (u64, u64)>,
+    progress_round: u32,
     stats_at: Micros,
     /// When a worker last reported.
     pub heard_at: Micros,
@@ -447,6 +448,7 @@
             next_machine_check: now,
             progress_at: now,
             progress_sent: BTreeMap::new(),
+            progress_round: 0,
             stats_at: now + 20 * SECOND,
             heard_at: now,
             direct: BTreeMap::new(),
@@ -1324,6 +1326,12 @@
                 }
             }
         }
+        // A node that was not there missed what did not change since: all of it goes out again
+        // now and then.
+        self.progress_round += 1;
+        if self.progress_round.is_multiple_of(4) {
+            self.progress_sent.clear();
+        }
         let changed: Vec<(String, u64, u64)> = now_known
             .iter()
             .filter(|(id, p)| self.progress_sent.get(*id) != Some(p))
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -96,7 +96,7 @@
 
 tuning! {
     /// How long the leader's lease lasts without a renewal, in microseconds.
-    leader_lease_us: u64 = 4 * SECOND, SECOND, 60 * SECOND;
+    leader_lease_us: u64 = 5 * SECOND / 2, SECOND, 60 * SECOND;
     /// Shortest time between two writes of the ledger, in microseconds.
     flush_interval_us: u64 = 60_000, 1_000, SECOND;
     /// Time between two rounds of placement, in microseconds.
