--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -124,8 +124,6 @@
     pub shy_until: Micros,
     /// Idle work is kept off until then: room is being made for work of higher priority.
     pub kept_until: Micros,
-    /// Ratio of run times here to what was expected.
-    pub slowness: f64,
     /// When the cloud's list first showed it.
     pub listed: Option<Micros>,
 }
@@ -160,7 +158,6 @@
             errors: Vec::new(),
             shy_until: 0,
             kept_until: 0,
-            slowness: 1.0,
             listed: None,
         }
     }
--- a/crates/grebewood/src/main.rs
+++ b/crates/grebewood/src/main.rs
@@ -39,7 +39,6 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             error!("{e}");
-            eprintln!("grebewood: {e}");
             ExitCode::FAILURE
         }
     }
