Give the tasks of one start of a gang the same attempt number

Ruled out: late display of short tasks (peers are now told every 0.3 s; no change). The unused list of machines in hire records is gone.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -832,7 +832,6 @@
                     spot,
                     number,
                     requested_us: cx.now.wall,
-                    machines: None,
                 },
                 requested: now,
                 written: false,
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -68,6 +68,10 @@
 }
 
 const PROBE: Micros = 500 * MILLI;
+/// How often peers are told of changed progress, so that polls at any node show short tasks too.
+const PROGRESS: Micros = 300 * MILLI;
+/// Every so many times they are told all of it.
+const PROGRESS_WHOLE: u32 = 13;
 
 impl Election {
     pub fn new(incarnation: u64) -> Self {
@@ -860,7 +864,7 @@
         self.run_flush(cx);
         self.run_held(cx);
         if now >= self.progress_at {
-            self.progress_at = now + SECOND;
+            self.progress_at = now + PROGRESS;
             self.send_progress(cx);
         }
     }
@@ -1329,7 +1333,7 @@
         // A node that was not there missed what did not change since: all of it goes out again
         // now and then.
         self.progress_round += 1;
-        if self.progress_round.is_multiple_of(4) {
+        if self.progress_round.is_multiple_of(PROGRESS_WHOLE) {
             self.progress_sent.clear();
         }
         let changed: Vec<(String, u64, u64)> = now_known
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -254,6 +254,7 @@
             .collect();
         candidates.sort_by(|a, b| (a.1, &a.0).cmp(&(b.1, &b.0)));
         let fixed_zone = self.fixed_zone(ix, &spec, &candidates);
+        let mut together = None;
         if Shape::of(&spec) == Some(Shape::Gang) {
             let room = self.gang_room(ix, &spec, &candidates, fixed_zone.as_deref());
             let quota = used.0 + spec.vcpus * left as f64 <= team.cpus_max + EPS
@@ -261,6 +262,8 @@
             if room < left || !quota {
                 return;
             }
+            // The tasks of one start of a gang share its attempt number.
+            together = Some(self.next_attempt());
         }
         for (name, _, slots) in candidates {
             let Some(zone) = self.machines.get(&name).map(|m| m.zone.clone()) else {
@@ -294,7 +297,11 @@
                 left -= 1;
                 used.0 += spec.vcpus;
                 used.1 += spec.accelerators;
-                self.assign(cx, &name, ix, task, &spec, expected);
+                let attempt = match together {
+                    Some(attempt) => attempt,
+                    None => self.next_attempt(),
+                };
+                self.assign(cx, &name, ix, task, &spec, (attempt, expected));
             }
         }
     }
@@ -358,11 +365,10 @@
         job: JobIx,
         task: u64,
         spec: &Submission,
-        expected: Micros,
+        (attempt, expected): (u64, Micros),
     ) {
         let now = cx.now.steady;
         let page = self.page_with_room(1);
-        let attempt = self.next_attempt();
         let written = self.ledger.touch(Rec::Page(page), now);
         let Some(m) = self.machines.get_mut(name) else {
             return;
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -87,8 +87,6 @@
     pub spot: bool,
     pub number: u64,
     pub requested_us: u64,
-    /// The machines it brought, once answered.
-    pub machines: Option<Vec<String>>,
 }
 
 /// Learnt averages, for the next leader.
