--- /dev/null
+++ b/crates/core/src/fleet.rs
@@ -0,0 +1,886 @@
+//! The fleet: renting by the deadline decider, boots, returns, and the cloud's machine list.
+//!
+//! The decider is that of the paper as changed by `DESIGN-grebewood.md`. A ready machine adds,
+//! for a job with `n` waiting tasks of run time `t` and time `D` to its deadline,
+//! `D * n / sum(n * t)` tasks, times the tasks that fit into its room; a booting machine uses `D`
+//! less its remaining boot delay, floored at zero. If work exceeds power, machines are added
+//! greedily by price per unit of the gap they close.
+
+use crate::jobs::{fits_type, EPS};
+use crate::leadership::Lead;
+use crate::ledger::Rec;
+use crate::node::{Ctx, LeadCall};
+use crate::placement::slots;
+use crate::{micros, Micros, Outcome, Target, SECOND};
+use grebewood_wire as wire;
+use grebewood_wire::http::{
+    Catalogue, MachineList, MachineType, Perches, Refusal, RentalRequest, Report, Submission,
+};
+use grebewood_wire::records::HireRecord;
+use log::{info, warn};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A call to the cloud.
+#[derive(Clone, Debug)]
+pub enum FleetCall {
+    Types,
+    List,
+    Hire { name: String },
+    Release { machines: Vec<String> },
+}
+
+/// Most names in one release.
+const RELEASE_MOST: usize = 100;
+/// Most machines in one rental request.
+const RENT_MOST: u64 = 50;
+const CLOUD_TIMEOUT: Micros = 4 * SECOND;
+
+/// A machine that was rented and has not reported yet.
+#[derive(Clone, Debug)]
+struct Boot {
+    machine_type: String,
+    zone: String,
+    spot: bool,
+    requested: Micros,
+    /// When the list last showed it.
+    listed: Option<Micros>,
+}
+
+/// A rental request.
+#[derive(Clone, Debug)]
+struct Hire {
+    record: HireRecord,
+    requested: Micros,
+    written: bool,
+    asking: bool,
+    retry_at: Micros,
+    /// Answered, and waiting for the list to show these.
+    unlisted: Option<BTreeSet<String>>,
+}
+
+/// A type in a zone, as spot or ordinary machine.
+type Offer = (String, String, bool);
+
+/// What the leader knows of the cloud.
+#[derive(Debug)]
+pub struct Fleet {
+    boots: BTreeMap<String, Boot>,
+    hires: BTreeMap<String, Hire>,
+    counter: u64,
+    /// Machines whose release was answered, and when.
+    gone: BTreeMap<String, Micros>,
+    /// Machines to be released.
+    releasing: BTreeSet<String>,
+    release_busy: bool,
+    release_at: Micros,
+    list_at: Micros,
+    list_busy: bool,
+    list: Vec<wire::http::ListedMachine>,
+    list_since: Option<String>,
+    /// Machines that the list shows as up but that never reported, since when.
+    mute: BTreeMap<String, Micros>,
+    decide_at: Micros,
+    pub types_at: Micros,
+    types_busy: bool,
+    /// Offers without capacity, until when, and how often in a row.
+    unavailable: BTreeMap<Offer, (Micros, u32)>,
+    listed_once: bool,
+    started: Micros,
+}
+
+impl Fleet {
+    pub fn new(now: Micros) -> Self {
+        Fleet {
+            boots: BTreeMap::new(),
+            hires: BTreeMap::new(),
+            counter: 0,
+            gone: BTreeMap::new(),
+            releasing: BTreeSet::new(),
+            release_busy: false,
+            release_at: now,
+            list_at: now,
+            list_busy: false,
+            list: Vec::new(),
+            list_since: None,
+            mute: BTreeMap::new(),
+            decide_at: now + SECOND,
+            types_at: now + 60 * SECOND,
+            types_busy: false,
+            unavailable: BTreeMap::new(),
+            listed_once: false,
+            started: now,
+        }
+    }
+
+    pub fn next_wake(&self, _cx: &Ctx) -> Micros {
+        let mut at = self.decide_at.min(self.types_at);
+        if !self.list_busy {
+            at = at.min(self.list_at);
+        }
+        if !self.releasing.is_empty() && !self.release_busy {
+            at = at.min(self.release_at);
+        }
+        for h in self.hires.values() {
+            if h.written && !h.asking && h.unlisted.is_none() {
+                at = at.min(h.retry_at);
+            }
+        }
+        at
+    }
+
+    /// The record of a hire that is still open.
+    pub fn hire_record(&self, name: &str) -> Option<HireRecord> {
+        self.hires.get(name).map(|h| h.record.clone())
+    }
+
+    pub fn hire_written(&mut self, now: Micros, name: &str) {
+        if let Some(h) = self.hires.get_mut(name) {
+            h.written = true;
+            h.retry_at = now;
+        }
+    }
+
+    /// Takes over a hire of an earlier leader: the same request is sent again by its name, which
+    /// rents nothing twice.
+    pub fn recover_hire(&mut self, cx: &Ctx, name: String, record: HireRecord) {
+        let now = cx.now.steady;
+        let age = cx.now.wall.saturating_sub(record.requested_us);
+        let hire = Hire {
+            record,
+            requested: now.saturating_sub(age),
+            written: true,
+            asking: false,
+            retry_at: now,
+            unlisted: None,
+        };
+        self.hires.insert(name, hire);
+    }
+
+    /// Whether the machine's release was answered.
+    pub fn is_gone(&self, name: &str) -> bool {
+        self.gone.contains_key(name)
+    }
+
+    /// Wants the machine returned. False if that is under way already.
+    pub fn release(&mut self, name: &str, now: Micros) -> bool {
+        self.release_at = self.release_at.min(now);
+        !self.is_gone(name) && self.releasing.insert(name.to_string())
+    }
+
+    /// Booting machines, including those of hires that are not answered yet.
+    fn booting(&self) -> usize {
+        let asked: u64 = self
+            .hires
+            .values()
+            .filter(|h| h.unlisted.is_none())
+            .map(|h| h.record.number)
+            .sum();
+        self.boots.len() + asked as usize
+    }
+}
+
+/// Work that waits: one job's tasks.
+struct Work<'a> {
+    spec: &'a Submission,
+    /// Waiting tasks.
+    n: f64,
+    /// Run time of a task, with its fetch, in seconds.
+    t: f64,
+    /// Time to finish in, in seconds.
+    d: f64,
+}
+
+/// Tasks of each work that a machine can finish in time: the paper's `P`, times the slots.
+fn power(work: &[Work], total: f64, delay: f64, slots: impl Fn(usize) -> f64) -> Vec<f64> {
+    work.iter()
+        .enumerate()
+        .map(|(i, w)| {
+            let d = (w.d - delay).max(0.0);
+            if total <= 0.0 {
+                0.0
+            } else {
+                d * w.n / total * slots(i)
+            }
+        })
+        .collect()
+}
+
+/// How many tasks fit an empty machine of the type; 0 if the job does not permit it.
+fn slots_of(t: &MachineType, zone: &str, spot: bool, spec: &Submission) -> f64 {
+    let permitted = (spec.loaner || !spot)
+        && spec.yard.as_ref().is_none_or(|y| y == zone)
+        && fits_type(spec, t);
+    if permitted {
+        slots((t.vcpus, t.accelerators, t.memory_gb), spec) as f64
+    } else {
+        0.0
+    }
+}
+
+impl Lead {
+    /// A machine reports: if it was booting, it is up now.
+    pub(crate) fn machine_is_up(&mut self, cx: &Ctx, report: &Report) {
+        let now = cx.now.steady;
+        self.fleet.mute.remove(&report.perch);
+        if let Some(boot) = self.fleet.boots.remove(&report.perch) {
+            let took = now.saturating_sub(boot.requested);
+            info!("{}: up after {} s", report.perch, took / SECOND);
+            if let Some(t) = cx.machine_type(&boot.machine_type) {
+                self.stats
+                    .booted(&boot.machine_type, micros(t.startup_s), took);
+            }
+            self.placement.wanted = true;
+        }
+        for h in self.fleet.hires.values_mut() {
+            if let Some(unlisted) = &mut h.unlisted {
+                unlisted.remove(&report.perch);
+            }
+        }
+    }
+
+    pub(crate) fn run_fleet(&mut self, cx: &mut Ctx) {
+        let now = cx.now.steady;
+        self.send_hires(cx);
+        self.send_releases(cx);
+        if now >= self.fleet.list_at && !self.fleet.list_busy && cx.cloud.take(now, 1.0) {
+            self.fleet.list_busy = true;
+            let since = match &self.fleet.list_since {
+                Some(s) => format!("since={s}&"),
+                None => String::new(),
+            };
+            let pending = self.pending(LeadCall::Fleet(FleetCall::List));
+            let path = format!("/rentals?{since}page=500");
+            cx.call(
+                Target::Cloud,
+                "GET",
+                path,
+                Vec::new(),
+                CLOUD_TIMEOUT,
+                pending,
+            );
+        }
+        if now >= self.fleet.types_at && !self.fleet.types_busy && cx.cloud.take(now, 1.0) {
+            self.fleet.types_busy = true;
+            self.fleet.types_at = now + 60 * SECOND;
+            let pending = self.pending(LeadCall::Fleet(FleetCall::Types));
+            cx.call(
+                Target::Cloud,
+                "GET",
+                "/machine_types".into(),
+                Vec::new(),
+                CLOUD_TIMEOUT,
+                pending,
+            );
+        }
+        if now >= self.fleet.decide_at {
+            self.fleet.decide_at = now + cx.tuning.decider_interval_us;
+            self.check_boots(cx);
+            self.decide(cx);
+            self.give_back(cx);
+            self.close_hires(cx);
+        }
+    }
+
+    fn send_hires(&mut self, cx: &mut Ctx) {
+        let now = cx.now.steady;
+        let ready: Vec<String> = self
+            .fleet
+            .hires
+            .iter()
+            .filter(|(_, h)| h.written && !h.asking && h.unlisted.is_none() && h.retry_at <= now)
+            .map(|(n, _)| n.clone())
+            .collect();
+        for name in ready {
+            if !cx.cloud.take(now, 1.0) {
+                if let Some(h) = self.fleet.hires.get_mut(&name) {
+                    h.retry_at = cx.cloud.ready_at(now, 1.0);
+                }
+                continue;
+            }
+            let Some(h) = self.fleet.hires.get_mut(&name) else {
+                continue;
+            };
+            h.asking = true;
+            let body = RentalRequest {
+                hire: name.clone(),
+                build: h.record.machine_type.clone(),
+                yard: h.record.zone.clone(),
+                loaner: h.record.spot,
+                number: h.record.number,
+            };
+            let pending = self.pending(LeadCall::Fleet(FleetCall::Hire { name }));
+            cx.call(
+                Target::Cloud,
+                "POST",
+                "/rentals".into(),
+                wire::to_cbor(&body),
+                CLOUD_TIMEOUT,
+                pending,
+            );
+        }
+    }
+
+    fn send_releases(&mut self, cx: &mut Ctx) {
+        let now = cx.now.steady;
+        let f = &mut self.fleet;
+        if f.releasing.is_empty() || f.release_busy || now < f.release_at {
+            return;
+        }
+        if !cx.cloud.take(now, 1.0) {
+            f.release_at = cx.cloud.ready_at(now, 1.0);
+            return;
+        }
+        f.release_busy = true;
+        let machines: Vec<String> = f.releasing.iter().take(RELEASE_MOST).cloned().collect();
+        let body = Perches {
+            perches: machines.clone(),
+        };
+        let pending = self.pending(LeadCall::Fleet(FleetCall::Release { machines }));
+        cx.call(
+            Target::Cloud,
+            "POST",
+            "/rentals/release".into(),
+            wire::to_cbor(&body),
+            CLOUD_TIMEOUT,
+            pending,
+        );
+    }
+
+    pub(crate) fn on_fleet(&mut self, cx: &mut Ctx, call: FleetCall, outcome: Outcome) {
+        let now = cx.now.steady;
+        let (status, body) = match outcome {
+            Outcome::Answer { status, body } => (status, body),
+            _ => (0, Vec::new()),
+        };
+        if status == 429 {
+            cx.cloud.drain(now);
+        }
+        match call {
+            FleetCall::Types => {
+                self.fleet.types_busy = false;
+                match wire::from_cbor::<Catalogue>(&body) {
+                    Ok(c) if status == 200 && !c.builds.is_empty() => {
+                        let known = self.ledger.stamps.contains_key(wire::records::CATALOGUE);
+                        if !known || cx.catalogue.as_ref() != Some(&c.builds) {
+                            self.ledger.touch(Rec::Catalogue, now);
+                        }
+                        cx.catalogue = Some(c.builds);
+                    }
+                    _ => self.fleet.types_at = now + 5 * SECOND,
+                }
+            }
+            FleetCall::List => {
+                self.fleet.list_busy = false;
+                match wire::from_cbor::<MachineList>(&body) {
+                    Ok(list) if status == 200 => {
+                        let last = list.perches.last().map(|p| p.uid.clone());
+                        self.fleet.list.extend(list.perches);
+                        if list.more && last.is_some() {
+                            self.fleet.list_since = last;
+                            self.fleet.list_at = now;
+                        } else {
+                            self.fleet.list_since = None;
+                            self.fleet.list_at = now + cx.tuning.list_interval_us;
+                            self.take_list(cx);
+                        }
+                    }
+                    Ok(_) | Err(_) => {
+                        if status == 200 {
+                            warn!("cloud: unreadable machine list");
+                        }
+                        self.fleet.list_at = now + SECOND + cx.jitter(SECOND / 2);
+                    }
+                }
+            }
+            FleetCall::Hire { name } => self.on_hire(cx, &name, status, &body),
+            FleetCall::Release { machines } => {
+                self.fleet.release_busy = false;
+                if status == 200 {
+                    for name in machines {
+                        self.released(cx, &name);
+                    }
+                } else {
+                    self.fleet.release_at = now + SECOND + cx.jitter(SECOND / 2);
+                }
+            }
+        }
+    }
+
+    /// A release was answered 200: the machine and all that was on it are gone.
+    fn released(&mut self, cx: &mut Ctx, name: &str) {
+        self.fleet.releasing.remove(name);
+        self.fleet.gone.insert(name.to_string(), cx.now.steady);
+        while self.fleet.gone.len() > 2_000 {
+            self.fleet.gone.pop_first();
+        }
+        self.fleet.boots.remove(name);
+        self.fleet.mute.remove(name);
+        while self
+            .machines
+            .get(name)
+            .is_some_and(|m| !m.assignments.is_empty())
+        {
+            self.free(cx, name, 0);
+        }
+        self.machines.remove(name);
+        if let Some(at) = self.held.iter().position(|h| h.machine == name) {
+            let held = self.held.remove(at);
+            cx.refuse(held.request, 503, "the machine was returned");
+        }
+    }
+
+    fn on_hire(&mut self, cx: &mut Ctx, name: &str, status: u16, body: &[u8]) {
+        let now = cx.now.steady;
+        let Some(h) = self.fleet.hires.get_mut(name) else {
+            return;
+        };
+        h.asking = false;
+        let offer = (
+            h.record.machine_type.clone(),
+            h.record.zone.clone(),
+            h.record.spot,
+        );
+        let wanted = h.record.number;
+        match status {
+            200 => match wire::from_cbor::<Perches>(body) {
+                Ok(p) => {
+                    info!("{name}: {} of {wanted} machines rented", p.perches.len());
+                    if (p.perches.len() as u64) < wanted {
+                        self.no_capacity(now, offer.clone());
+                    } else {
+                        self.fleet.unavailable.remove(&offer);
+                    }
+                    let Some(h) = self.fleet.hires.get_mut(name) else {
+                        return;
+                    };
+                    let requested = h.requested;
+                    h.unlisted = Some(p.perches.iter().cloned().collect());
+                    for machine in p.perches {
+                        if self.machines.contains_key(&machine) || self.fleet.is_gone(&machine) {
+                            continue;
+                        }
+                        let boot = Boot {
+                            machine_type: offer.0.clone(),
+                            zone: offer.1.clone(),
+                            spot: offer.2,
+                            requested,
+                            listed: None,
+                        };
+                        self.fleet.boots.entry(machine).or_insert(boot);
+                    }
+                }
+                Err(e) => {
+                    warn!("{name}: {e}");
+                    h.retry_at = now + SECOND;
+                }
+            },
+            503 if wire::from_cbor::<Refusal>(body).is_ok_and(|r| r.error == "no capacity") => {
+                self.no_capacity(now, offer);
+                self.drop_hire(cx, name);
+            }
+            400 => {
+                warn!("{name}: the cloud calls the request malformed");
+                self.no_capacity(now, offer);
+                self.drop_hire(cx, name);
+            }
+            // No clear outcome: the same request again, by the same name.
+            _ => h.retry_at = now + SECOND + cx.jitter(SECOND / 2),
+        }
+    }
+
+    fn no_capacity(&mut self, now: Micros, offer: Offer) {
+        let entry = self.fleet.unavailable.entry(offer).or_insert((0, 0));
+        entry.1 = (entry.1 + 1).min(3);
+        entry.0 = now + (5 * SECOND << entry.1.saturating_sub(1)).min(20 * SECOND);
+    }
+
+    fn drop_hire(&mut self, cx: &Ctx, name: &str) {
+        if self.fleet.hires.remove(name).is_some() {
+            // Rendered as a deletion.
+            self.ledger
+                .touch(Rec::Hire(name.to_string()), cx.now.steady);
+        }
+    }
+
+    /// Ends hires whose machines the list or their own reports show: from then on a new leader
+    /// finds them there.
+    fn close_hires(&mut self, cx: &mut Ctx) {
+        let closed: Vec<String> = self
+            .fleet
+            .hires
+            .iter()
+            .filter(|(_, h)| h.unlisted.as_ref().is_some_and(BTreeSet::is_empty))
+            .map(|(n, _)| n.clone())
+            .collect();
+        for name in closed {
+            self.drop_hire(cx, &name);
+        }
+    }
+
+    /// Takes in a full machine list. It lags, so absence from it says little.
+    fn take_list(&mut self, cx: &mut Ctx) {
+        let now = cx.now.steady;
+        let list = std::mem::take(&mut self.fleet.list);
+        self.fleet.listed_once = true;
+        let old = 4 * cx.settings.list_lag + 30 * SECOND;
+        for p in list {
+            for h in self.fleet.hires.values_mut() {
+                if let Some(unlisted) = &mut h.unlisted {
+                    unlisted.remove(&p.uid);
+                }
+            }
+            if let Some(at) = self.fleet.gone.get(&p.uid) {
+                if now.saturating_sub(*at) > old {
+                    // Still there long after its release was answered: release it again.
+                    self.fleet.gone.remove(&p.uid);
+                    self.fleet.release(&p.uid, now);
+                }
+                continue;
+            }
+            if p.status == "failed" {
+                info!("{}: failed", p.uid);
+                self.fleet.release(&p.uid, now);
+                continue;
+            }
+            if let Some(boot) = self.fleet.boots.get_mut(&p.uid) {
+                boot.listed = Some(now);
+            }
+            let reported = self
+                .machines
+                .get(&p.uid)
+                .is_some_and(|m| !m.endpoint.is_empty());
+            if reported {
+                continue;
+            }
+            if p.status == "running" {
+                self.fleet.mute.entry(p.uid.clone()).or_insert(now);
+            }
+            self.fleet.boots.entry(p.uid.clone()).or_insert_with(|| {
+                info!("{}: not known until now", p.uid);
+                Boot {
+                    machine_type: p.build.clone(),
+                    zone: p.yard.clone(),
+                    spot: p.loaner,
+                    requested: now.saturating_sub(micros(p.held_s)),
+                    listed: Some(now),
+                }
+            });
+        }
+    }
+
+    /// Gives up boots that are far overdue, that vanished from the list, or whose machines are
+    /// listed as up without ever reporting.
+    fn check_boots(&mut self, cx: &mut Ctx) {
+        let now = cx.now.steady;
+        let lag = cx.settings.list_lag;
+        let hearing = now.saturating_sub(self.heard_at) < 3 * cx.settings.report;
+        let mut release = Vec::new();
+        let mut vanished = Vec::new();
+        for (name, b) in &self.fleet.boots {
+            let limit = self.overdue_after(cx, &b.machine_type);
+            if now.saturating_sub(b.requested) > limit + limit / 2 {
+                release.push(name.clone());
+            } else if b
+                .listed
+                .is_some_and(|at| now.saturating_sub(at) > 3 * lag + 10 * SECOND)
+                && !self.fleet.list_busy
+            {
+                vanished.push(name.clone());
+            }
+        }
+        if hearing {
+            for (name, since) in &self.fleet.mute {
+                if now.saturating_sub(*since) > 30 * SECOND {
+                    release.push(name.clone());
+                }
+            }
+        }
+        for name in vanished {
+            self.fleet.boots.remove(&name);
+        }
+        for name in release {
+            if self.fleet.release(&name, now) {
+                info!("{name}: did not come up, released");
+            }
+        }
+    }
+
+    /// How long a boot may take before it counts for nothing.
+    fn overdue_after(&self, cx: &Ctx, machine_type: &str) -> Micros {
+        let startup = cx
+            .machine_type(machine_type)
+            .map_or(30 * SECOND, |t| micros(t.startup_s));
+        let mean = self.stats.boot_time(machine_type, startup);
+        (mean as f64 * cx.tuning.boot_overdue) as Micros + 2 * SECOND
+    }
+
+    /// The work that waits, job by job.
+    fn waiting_work<'a>(&'a self, cx: &Ctx) -> Vec<Work<'a>> {
+        let now = cx.now.steady;
+        let usage = self.usage();
+        let boot = cx
+            .catalogue
+            .iter()
+            .flatten()
+            .map(|t| self.stats.boot_time(&t.name, micros(t.startup_s)))
+            .min()
+            .unwrap_or(30 * SECOND);
+        let mut planned: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
+        let mut work = Vec::new();
+        for (_, j) in self.jobs.iter() {
+            if j.waiting() == 0 || j.errors >= 3 {
+                continue;
+            }
+            let Some(team) = cx.settings.teams.get(&j.spec.owner) else {
+                continue;
+            };
+            let fetch = cx
+                .catalogue
+                .iter()
+                .flatten()
+                .filter(|t| fits_type(&j.spec, t))
+                .map(|t| micros(j.spec.pull_gb / t.fetch_gb_per_s.unwrap_or(1.0).max(1e-3)))
+                .min()
+                .unwrap_or(0);
+            let run = self.stats.expected_run(&j.spec);
+            let t = (run + fetch) as f64 / 1e6;
+            let (at, _) = j.target(&cx.settings, cx.tuning.default_deadline_us, now, run);
+            let left = (at - now as i64).max(0) as f64 / 1e6 * cx.tuning.deadline_share;
+            // Less than a boot and a run cannot be met by anything that is rented now.
+            let d = left.max(boot as f64 / 1e6 + t);
+            // The team's limit bounds what can run within `d`, whatever is rented.
+            let used = usage.get(&j.spec.owner).copied().unwrap_or((0.0, 0.0));
+            let plan = planned.entry(&j.spec.owner).or_insert((0.0, 0.0));
+            let rounds = (d / t).max(1.0);
+            let room = |max: f64, used: f64, planned: f64, need: f64| {
+                if need <= EPS {
+                    f64::MAX
+                } else {
+                    ((max * rounds - used - planned) / need).max(0.0)
+                }
+            };
+            let n = (j.waiting() as f64)
+                .min(room(team.cpus_max, used.0, plan.0, j.spec.vcpus))
+                .min(room(team.gpus_max, used.1, plan.1, j.spec.accelerators));
+            if n < 0.5 {
+                continue;
+            }
+            plan.0 += n * j.spec.vcpus;
+            plan.1 += n * j.spec.accelerators;
+            work.push(Work {
+                spec: &j.spec,
+                n,
+                t,
+                d,
+            });
+        }
+        work
+    }
+
+    /// Power of the machines that are up or booting, without the one named.
+    fn power_of_fleet(&self, cx: &Ctx, work: &[Work], without: Option<&str>) -> Vec<f64> {
+        let now = cx.now.steady;
+        let total: f64 = work.iter().map(|w| w.n * w.t).sum();
+        let mut sum = vec![0.0; work.len()];
+        let mut add = |p: Vec<f64>| {
+            for (s, p) in sum.iter_mut().zip(p) {
+                *s += p;
+            }
+        };
+        let silence = cx.settings.report * 3;
+        for m in self.machines.values() {
+            if Some(m.name.as_str()) == without || !m.usable(now, silence) {
+                continue;
+            }
+            let Some(build) = cx.machine_type(&m.machine_type) else {
+                continue;
+            };
+            // Room that is free now counts whole, room freed within `d` by the part of `d` left.
+            let p = power(work, total, 0.0, |i| {
+                let w = &work[i];
+                let all = slots_of(build, &m.zone, m.spot, w.spec);
+                if all <= 0.0 || m.cpus <= 0.0 {
+                    return 0.0;
+                }
+                let mut share = 1.0;
+                for a in &m.assignments {
+                    let remaining = a.remaining(now, 0) as f64 / 1e6;
+                    let part = (a.cpus / m.cpus).max(a.memory / m.memory.max(EPS));
+                    share -= part * (remaining / w.d).min(1.0);
+                }
+                all * share.max(0.0)
+            });
+            add(p);
+        }
+        for b in self.fleet.boots.values() {
+            let Some(build) = cx.machine_type(&b.machine_type) else {
+                continue;
+            };
+            let spent = now.saturating_sub(b.requested);
+            if spent > self.overdue_after(cx, &b.machine_type) {
+                // Overdue boots lose their power and are replaced.
+                continue;
+            }
+            let boot = self
+                .stats
+                .boot_time(&b.machine_type, micros(build.startup_s));
+            let delay = boot.saturating_sub(spent) as f64 / 1e6;
+            add(power(work, total, delay, |i| {
+                slots_of(build, &b.zone, b.spot, work[i].spec)
+            }));
+        }
+        for h in self.fleet.hires.values().filter(|h| h.unlisted.is_none()) {
+            let Some(build) = cx.machine_type(&h.record.machine_type) else {
+                continue;
+            };
+            let boot = self.stats.boot_time(&build.name, micros(build.startup_s));
+            add(power(work, total, boot as f64 / 1e6, |i| {
+                h.record.number as f64
+                    * slots_of(build, &h.record.zone, h.record.spot, work[i].spec)
+            }));
+        }
+        sum
+    }
+
+    /// One round of the decider.
+    fn decide(&mut self, cx: &mut Ctx) {
+        let now = cx.now.steady;
+        // Before the first list, machines of an earlier leader may be missing.
+        if !self.fleet.listed_once && now < self.fleet.started + 10 * SECOND {
+            return;
+        }
+        let Some(catalogue) = cx.catalogue.clone() else {
+            return;
+        };
+        let plan = {
+            let work = self.waiting_work(cx);
+            if work.is_empty() {
+                return;
+            }
+            let total: f64 = work.iter().map(|w| w.n * w.t).sum();
+            let have = self.power_of_fleet(cx, &work, None);
+            let mut gap: Vec<f64> = work
+                .iter()
+                .zip(&have)
+                .map(|(w, p)| (w.n - p).max(0.0))
+                .collect();
+            let mut plan: BTreeMap<Offer, u64> = BTreeMap::new();
+            let fleet = self.machines.len() + self.fleet.booting();
+            let room = (cx.tuning.fleet_max as usize).saturating_sub(fleet);
+            for _ in 0..room.min(200) {
+                let mut best: Option<(f64, Offer, Vec<f64>)> = None;
+                for t in &catalogue {
+                    let boot = self.stats.boot_time(&t.name, micros(t.startup_s)) as f64 / 1e6;
+                    for zone in &t.yards {
+                        for spot in [true, false] {
+                            let price = match (spot, t.spot_price) {
+                                (true, Some(p)) => p * cx.tuning.spot_risk,
+                                (true, None) => continue,
+                                (false, _) => t.price,
+                            };
+                            let offer = (t.name.clone(), zone.clone(), spot);
+                            let planned = plan.get(&offer).copied().unwrap_or(0);
+                            let closed = self
+                                .fleet
+                                .unavailable
+                                .get(&offer)
+                                .is_some_and(|(until, _)| *until > now);
+                            let asked = self.fleet.hires.values().any(|h| {
+                                h.unlisted.is_none()
+                                    && h.record.machine_type == offer.0
+                                    && h.record.zone == offer.1
+                                    && h.record.spot == offer.2
+                            });
+                            if closed || asked || planned >= RENT_MOST {
+                                continue;
+                            }
+                            let p = power(&work, total, boot, |i| {
+                                slots_of(t, zone, spot, work[i].spec)
+                            });
+                            // Seconds of work that the machine can do, and that are missing.
+                            let can: f64 = p.iter().zip(&work).map(|(p, w)| p * w.t).sum();
+                            let closes: f64 = p
+                                .iter()
+                                .zip(&gap)
+                                .zip(&work)
+                                .map(|((p, g), w)| p.min(*g) * w.t)
+                                .sum();
+                            if can <= 0.0 || closes < can * cx.tuning.rent_threshold {
+                                continue;
+                            }
+                            let cost = price / closes;
+                            if best.as_ref().is_none_or(|(c, _, _)| cost < *c) {
+                                best = Some((cost, offer, p));
+                            }
+                        }
+                    }
+                }
+                let Some((_, offer, p)) = best else { break };
+                for (g, p) in gap.iter_mut().zip(p) {
+                    *g = (*g - p).max(0.0);
+                }
+                *plan.entry(offer).or_insert(0) += 1;
+            }
+            plan
+        };
+        for ((machine_type, zone, spot), number) in plan {
+            self.fleet.counter += 1;
+            let name = format!("h-{}-{}", self.token, self.fleet.counter);
+            info!("{name}: renting {number} of {machine_type} in {zone}, spot {spot}");
+            let hire = Hire {
+                record: HireRecord {
+                    machine_type,
+                    zone,
+                    spot,
+                    number,
+                    requested_us: cx.now.wall,
+                    machines: None,
+                },
+                requested: now,
+                written: false,
+                asking: false,
+                retry_at: now,
+                unlisted: None,
+            };
+            self.fleet.hires.insert(name.clone(), hire);
+            // The record is durable before the request goes out.
+            self.ledger.touch(Rec::Hire(name), now);
+        }
+    }
+
+    /// Returns machines that have been idle for the hold, if the power without them covers the
+    /// work; and those that are closing, once they are empty.
+    fn give_back(&mut self, cx: &mut Ctx) {
+        let now = cx.now.steady;
+        let mut release: Vec<String> = Vec::new();
+        let mut idle: Vec<(bool, Micros, String)> = Vec::new();
+        for m in self.machines.values() {
+            if !m.assignments.is_empty() || !m.reaps.is_empty() {
+                continue;
+            }
+            if m.closing || m.recall_at.is_some() {
+                release.push(m.name.clone());
+            } else if now.saturating_sub(m.idle_since) >= cx.tuning.idle_hold_us
+                && now.saturating_sub(self.loaded_at) >= cx.tuning.idle_hold_us
+            {
+                idle.push((m.spot, m.idle_since, m.name.clone()));
+            }
+        }
+        // Ordinary machines first: they cost more.
+        idle.sort();
+        if let Some((_, _, name)) = idle.first() {
+            let work = self.waiting_work(cx);
+            let without = self.power_of_fleet(cx, &work, Some(name));
+            if work.iter().zip(&without).all(|(w, p)| *p + EPS >= w.n) {
+                info!("{name}: idle, returned");
+                release.push(name.clone());
+            }
+        }
+        for name in release {
+            if let Some(m) = self.machines.get_mut(&name) {
+                m.closing = true;
+            }
+            self.fleet.release(&name, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/jobs.rs
@@ -0,0 +1,429 @@
+//! Live jobs: which tasks are done, which are taken, and in what order jobs are served.
+
+use crate::{micros, Micros, Settings, SECOND};
+use grebewood_wire::http::{MachineType, Precedence, Submission};
+use grebewood_wire::records::{DoneRecord, JobRecord, DONE_SPAN};
+use std::collections::BTreeMap;
+
+/// Place of a job in the job table.
+pub type JobIx = u32;
+
+/// Why a submission is not accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// 400: a field is invalid.
+    Invalid(String),
+    /// 422: the job can never run.
+    Impossible(String),
+}
+
+/// Most tasks that a job may have.
+pub const MAX_TASKS: u64 = 100_000;
+const MAX_NAME: usize = 150;
+
+/// Whether `id` has the form of a job id: `req-` and digits.
+pub fn valid_id(id: &str) -> bool {
+    id.strip_prefix("req-").is_some_and(|digits| {
+        (1..=40).contains(&digits.len()) && digits.bytes().all(|b| b.is_ascii_digit())
+    })
+}
+
+/// Checks a submission's own fields.
+pub fn check_fields(s: &Submission) -> Result<(), Refused> {
+    let invalid = |what: &str| Err(Refused::Invalid(what.to_string()));
+    if !valid_id(&s.uid) {
+        return invalid("uid: not of the form req-000000");
+    }
+    for (field, text) in [
+        ("workclass", &s.workclass),
+        ("owner", &s.owner),
+        ("bundle", &s.bundle),
+    ] {
+        if text.is_empty() || text.len() > MAX_NAME {
+            return invalid(&format!("{field}: empty or too long"));
+        }
+    }
+    if s.shape != "batch" {
+        return invalid("shape: only batch is known");
+    }
+    if s.shards == 0 || s.shards > MAX_TASKS {
+        return invalid("shards: not within 1 and 100000");
+    }
+    for (field, x) in [
+        ("vcpus", s.vcpus),
+        ("accelerators", s.accelerators),
+        ("memory_gb", s.memory_gb),
+        ("pull_gb", s.pull_gb),
+        ("expected_s", s.expected_s),
+        ("savepoint_s", s.savepoint_s),
+        ("flush_s", s.flush_s),
+        ("due_s", s.due_s.unwrap_or(0.0)),
+    ] {
+        if !(0.0..=1e9).contains(&x) {
+            return invalid(&format!("{field}: negative or too large"));
+        }
+    }
+    let builds_ok = s.builds.as_ref().is_none_or(|b| {
+        b.len() <= 64
+            && b.iter()
+                .all(|name| !name.is_empty() && name.len() <= MAX_NAME)
+    });
+    if !builds_ok {
+        return invalid("builds: too many or invalid names");
+    }
+    if s.yard
+        .as_ref()
+        .is_some_and(|y| y.is_empty() || y.len() > MAX_NAME)
+    {
+        return invalid("yard: empty or too long");
+    }
+    Ok(())
+}
+
+/// Whether one task of the job fits the machine type and the job permits it.
+pub fn fits_type(s: &Submission, t: &MachineType) -> bool {
+    s.builds.as_ref().is_none_or(|b| b.contains(&t.name))
+        && s.yard.as_ref().is_none_or(|y| t.yards.contains(y))
+        && s.vcpus <= t.vcpus + EPS
+        && s.accelerators <= t.accelerators + EPS
+        && s.memory_gb <= t.memory_gb + EPS
+}
+
+/// Tolerance when amounts are compared.
+pub const EPS: f64 = 1e-6;
+
+/// Checks whether the job can ever run.
+pub fn check_possible(
+    s: &Submission,
+    settings: &Settings,
+    catalogue: &[MachineType],
+) -> Result<(), Refused> {
+    let impossible = |what: String| Err(Refused::Impossible(what));
+    let Some(team) = settings.teams.get(&s.owner) else {
+        return impossible(format!("owner: no team {:?}", s.owner));
+    };
+    if s.vcpus > team.cpus_max + EPS || s.accelerators > team.gpus_max + EPS {
+        return impossible("a task needs more than the team's limit".into());
+    }
+    if !catalogue.iter().any(|t| fits_type(s, t)) {
+        return impossible("a task fits no allowed machine type".into());
+    }
+    Ok(())
+}
+
+/// A fixed set of bits.
+#[derive(Clone, Debug, Default)]
+pub struct Bits(Vec<u64>);
+
+impl Bits {
+    fn new(n: u64) -> Self {
+        Bits(vec![0; n.div_ceil(64) as usize])
+    }
+
+    pub fn get(&self, i: u64) -> bool {
+        self.0
+            .get((i / 64) as usize)
+            .is_some_and(|w| w >> (i % 64) & 1 == 1)
+    }
+
+    fn set(&mut self, i: u64, on: bool) {
+        if let Some(w) = self.0.get_mut((i / 64) as usize) {
+            *w = *w & !(1 << (i % 64)) | (on as u64) << (i % 64);
+        }
+    }
+}
+
+/// How a job ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Done,
+    Aborted,
+}
+
+impl Ending {
+    /// The wire's word.
+    pub fn status(self) -> &'static str {
+        match self {
+            Ending::Done => "done",
+            Ending::Aborted => "aborted",
+        }
+    }
+}
+
+/// A job that is not over.
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub id: String,
+    pub spec: Submission,
+    /// Steady time of acceptance; may lie before the process's start.
+    pub age_base: i64,
+    done: Bits,
+    taken: Bits,
+    /// Tasks that more than one assignment holds, with the number beyond the first.
+    extra: BTreeMap<u64, u32>,
+    pub done_count: u64,
+    pub taken_count: u64,
+    cursor: u64,
+    /// When the cancellation was learnt.
+    pub cancelled: Option<Micros>,
+    /// Set while its terminal record is being written.
+    pub ending: Option<Ending>,
+    /// Failures in a row without a success, and when to try again.
+    pub errors: u32,
+    pub retry_at: Micros,
+    /// Live assignments by zone.
+    pub zones: BTreeMap<String, u32>,
+    /// Mean run time of its own tasks so far, with their number.
+    pub run_mean: (Micros, u32),
+    /// Since when tasks have been waiting without a place.
+    pub waiting_since: Option<Micros>,
+}
+
+impl Job {
+    pub fn new(record: JobRecord, now: Micros, wall: Micros) -> Self {
+        let n = record.spec.shards.min(MAX_TASKS);
+        let age = wall.saturating_sub(record.accepted_us) as i64;
+        Job {
+            id: record.spec.uid.clone(),
+            done: Bits::new(n),
+            taken: Bits::new(n),
+            extra: BTreeMap::new(),
+            done_count: 0,
+            taken_count: 0,
+            cursor: 0,
+            cancelled: None,
+            ending: None,
+            errors: 0,
+            retry_at: 0,
+            zones: BTreeMap::new(),
+            run_mean: (0, 0),
+            waiting_since: Some(now),
+            age_base: now as i64 - age,
+            spec: record.spec,
+        }
+    }
+
+    pub fn tasks(&self) -> u64 {
+        self.spec.shards
+    }
+
+    /// Tasks that are neither done nor taken.
+    pub fn waiting(&self) -> u64 {
+        if self.cancelled.is_some() || self.ending.is_some() {
+            return 0;
+        }
+        let taken_undone = self.taken_count;
+        self.tasks().saturating_sub(self.done_count + taken_undone)
+    }
+
+    pub fn is_done(&self, task: u64) -> bool {
+        self.done.get(task)
+    }
+
+    pub fn all_done(&self) -> bool {
+        self.done_count >= self.tasks()
+    }
+
+    /// Marks a task done. A done task does not count as taken, though it may still be on a
+    /// machine. Returns false if it was done already or does not exist.
+    pub fn complete(&mut self, task: u64) -> bool {
+        if task >= self.tasks() || self.done.get(task) {
+            return false;
+        }
+        self.done.set(task, true);
+        self.done_count += 1;
+        if self.taken.get(task) {
+            self.taken_count -= 1;
+        }
+        true
+    }
+
+    /// Takes a task for an assignment.
+    pub fn take(&mut self, task: u64) {
+        if self.taken.get(task) {
+            *self.extra.entry(task).or_insert(0) += 1;
+            return;
+        }
+        self.taken.set(task, true);
+        if !self.done.get(task) {
+            self.taken_count += 1;
+        }
+    }
+
+    /// Gives a task back when an assignment of it is proven gone. With two assignments of one
+    /// task on record, as after a crash between two writes, it is free when both are gone.
+    pub fn give_back(&mut self, task: u64) {
+        if let Some(n) = self.extra.get_mut(&task) {
+            *n -= 1;
+            if *n == 0 {
+                self.extra.remove(&task);
+            }
+            return;
+        }
+        if self.taken.get(task) {
+            self.taken.set(task, false);
+            if !self.done.get(task) {
+                self.taken_count -= 1;
+                self.cursor = self.cursor.min(task);
+            }
+        }
+    }
+
+    /// The next waiting task.
+    pub fn next_waiting(&mut self) -> Option<u64> {
+        if self.waiting() == 0 {
+            return None;
+        }
+        while self.cursor < self.tasks() {
+            if !self.done.get(self.cursor) && !self.taken.get(self.cursor) {
+                return Some(self.cursor);
+            }
+            self.cursor += 1;
+        }
+        None
+    }
+
+    /// The record of completed tasks from `n * DONE_SPAN` on.
+    pub fn done_record(&self, n: u64) -> DoneRecord {
+        let from = n * DONE_SPAN;
+        let to = (from + DONE_SPAN).min(self.tasks());
+        let mut bits = String::with_capacity(((to - from) / 4 + 1) as usize);
+        let mut i = from;
+        while i < to {
+            let digit = (0..4)
+                .filter(|k| self.done.get(i + k))
+                .fold(0u32, |d, k| d | 1 << k);
+            bits.extend(char::from_digit(digit, 16));
+            i += 4;
+        }
+        DoneRecord { bits }
+    }
+
+    /// Reads a record of completed tasks back.
+    pub fn load_done(&mut self, n: u64, record: &DoneRecord) {
+        for (k, c) in record.bits.chars().enumerate() {
+            let digit = c.to_digit(16).unwrap_or(0);
+            for b in (0..4).filter(|b| digit >> b & 1 == 1) {
+                self.complete(n * DONE_SPAN + k as u64 * 4 + b);
+            }
+        }
+    }
+
+    /// Time since acceptance.
+    pub fn age(&self, now: Micros) -> Micros {
+        (now as i64 - self.age_base).max(0) as Micros
+    }
+
+    /// When the job should be finished, by its deadline or else by the objectives of its class:
+    /// the earliest aim that it can still meet, with `need` yet to run. The flag says whether
+    /// any aim can be met.
+    pub fn target(
+        &self,
+        settings: &Settings,
+        default: Micros,
+        now: Micros,
+        need: Micros,
+    ) -> (i64, bool) {
+        let mut aims: Vec<Micros> = Vec::new();
+        if let Some(due) = self.spec.due_s {
+            aims.push(micros(due));
+        } else {
+            aims.extend(
+                settings
+                    .objectives
+                    .iter()
+                    .filter(|o| o.class == self.spec.workclass && o.kind == "finished")
+                    .filter_map(|o| o.within),
+            );
+            aims.sort_unstable();
+        }
+        let earliest = now as i64 + need as i64;
+        for aim in &aims {
+            let at = self.age_base + *aim as i64;
+            if at >= earliest {
+                return (at, true);
+            }
+        }
+        if aims.is_empty() {
+            return (self.age_base + default as i64, true);
+        }
+        (now as i64 + default as i64, false)
+    }
+}
+
+/// Rank of a precedence: higher is served first.
+pub fn rank(p: Precedence) -> u8 {
+    match p {
+        Precedence::Idle => 0,
+        Precedence::Normal => 1,
+        Precedence::High => 2,
+        Precedence::Prod => 3,
+    }
+}
+
+/// The job table.
+#[derive(Debug, Default)]
+pub struct Jobs {
+    slots: BTreeMap<JobIx, Job>,
+    by_id: BTreeMap<String, JobIx>,
+    next: JobIx,
+}
+
+impl Jobs {
+    pub fn clear(&mut self) {
+        self.slots.clear();
+        self.by_id.clear();
+    }
+
+    pub fn insert(&mut self, job: Job) -> JobIx {
+        let ix = self.next;
+        self.next = self.next.wrapping_add(1);
+        self.by_id.insert(job.id.clone(), ix);
+        self.slots.insert(ix, job);
+        ix
+    }
+
+    pub fn remove(&mut self, ix: JobIx) -> Option<Job> {
+        let job = self.slots.remove(&ix)?;
+        self.by_id.remove(&job.id);
+        Some(job)
+    }
+
+    pub fn find(&self, id: &str) -> Option<JobIx> {
+        self.by_id.get(id).copied()
+    }
+
+    pub fn get(&self, ix: JobIx) -> Option<&Job> {
+        self.slots.get(&ix)
+    }
+
+    pub fn get_mut(&mut self, ix: JobIx) -> Option<&mut Job> {
+        self.slots.get_mut(&ix)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (JobIx, &Job)> {
+        self.slots.iter().map(|(ix, job)| (*ix, job))
+    }
+
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+}
+
+/// Splits `req-000412/3` into the job's id and the task's number.
+pub fn parse_task(name: &str) -> Option<(&str, u64)> {
+    let (id, task) = name.rsplit_once('/')?;
+    Some((id, task.parse().ok()?))
+}
+
+/// Delay before a job whose tasks fail is tried again.
+pub fn error_backoff(errors: u32) -> Micros {
+    match errors {
+        0..=2 => 0,
+        n => (SECOND << (n - 3).min(5)).min(30 * SECOND),
+    }
+}
--- /dev/null
+++ b/crates/core/src/ledger.rs
@@ -0,0 +1,193 @@
+//! The ledger: what the holder of a grant still has to write, and what is durable already.
+//!
+//! Each record that changes gets the next number of a sequence; a flush writes the current
+//! content of several records in one transaction, on the condition that the grant is still ours
+//! and that each key still has the stamp we know. The second condition guards against a
+//! transaction whose outcome was unknown and which is applied late: either it comes before the
+//! next write of the same key, which then fails and is repeated, or it fails itself.
+
+use crate::jobs::JobIx;
+use crate::{Micros, MILLI};
+use grebewood_wire::http::{Change, Txn, When};
+use std::collections::BTreeMap;
+
+/// A record that the ledger writes.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rec {
+    /// Completed tasks of a job.
+    Done(JobIx, u64),
+    /// A page of assignments.
+    Page(u64),
+    /// A rental request.
+    Hire(String),
+    /// The end of a job: its terminal record, and the removal of its live ones.
+    Over(JobIx),
+    /// Learnt averages.
+    Stats,
+    /// Machine types.
+    Catalogue,
+}
+
+/// One record's changes and conditions, as rendered for a transaction.
+#[derive(Clone, Debug, Default)]
+pub struct Rendered {
+    pub when: Vec<When>,
+    pub apply: Vec<Change>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Slot {
+    /// Number of the latest change.
+    version: u64,
+    /// Number of the latest change that is durable.
+    durable: u64,
+    /// When it became dirty.
+    since: Micros,
+}
+
+/// Records of one transaction.
+#[derive(Clone, Debug)]
+pub struct Batch {
+    pub recs: Vec<(Rec, u64)>,
+    pub txn: Txn,
+    /// The call that carries it.
+    pub call: u64,
+}
+
+impl Batch {
+    /// Keys put by this batch.
+    pub fn puts(&self) -> impl Iterator<Item = &str> {
+        self.txn.apply.iter().filter_map(|c| match c {
+            Change::Put { put, .. } => Some(put.as_str()),
+            Change::Delete { .. } => None,
+        })
+    }
+
+    /// Keys deleted by this batch.
+    pub fn deletes(&self) -> impl Iterator<Item = &str> {
+        self.txn.apply.iter().filter_map(|c| match c {
+            Change::Delete { delete } => Some(delete.as_str()),
+            Change::Put { .. } => None,
+        })
+    }
+}
+
+/// What is to be written, and what has been.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    slots: BTreeMap<Rec, Slot>,
+    /// Stamps of the keys in the state service, as far as known; absent: the key is absent.
+    pub stamps: BTreeMap<String, u64>,
+    seq: u64,
+    /// The transaction under way.
+    pub in_flight: Option<Batch>,
+    /// No flush before this time.
+    pub not_before: Micros,
+    /// Keys whose stamps must be read again before the next flush.
+    pub stale: Vec<String>,
+}
+
+impl Ledger {
+    pub fn clear(&mut self) {
+        *self = Ledger {
+            seq: self.seq,
+            ..Ledger::default()
+        };
+    }
+
+    /// Notes a change of the record; the result is the number under which it becomes durable.
+    pub fn touch(&mut self, rec: Rec, now: Micros) -> u64 {
+        self.seq += 1;
+        let slot = self.slots.entry(rec).or_default();
+        if slot.version == slot.durable {
+            slot.since = now;
+        }
+        slot.version = self.seq;
+        self.seq
+    }
+
+    /// Whether the change with this number is durable.
+    pub fn is_durable(&self, rec: &Rec, version: u64) -> bool {
+        version == 0 || self.slots.get(rec).is_some_and(|s| s.durable >= version)
+    }
+
+    /// Whether the record has changes that are not durable.
+    pub fn is_dirty(&self, rec: &Rec) -> bool {
+        self.slots.get(rec).is_some_and(|s| s.version > s.durable)
+    }
+
+    /// Forgets a record that needs no writing any more.
+    pub fn forget(&mut self, rec: &Rec) {
+        self.slots.remove(rec);
+    }
+
+    /// Dirty records, those of longest standing first; averages and the like come last.
+    pub fn dirty(&self) -> Vec<Rec> {
+        let mut dirty: Vec<(bool, Micros, &Rec)> = self
+            .slots
+            .iter()
+            .filter(|(_, s)| s.version > s.durable)
+            .map(|(r, s)| (matches!(r, Rec::Stats | Rec::Catalogue), s.since, r))
+            .collect();
+        dirty.sort();
+        dirty.into_iter().map(|(_, _, r)| r.clone()).collect()
+    }
+
+    pub fn has_dirty(&self) -> bool {
+        self.slots.values().any(|s| s.version > s.durable)
+    }
+
+    pub fn version(&self, rec: &Rec) -> u64 {
+        self.slots.get(rec).map_or(0, |s| s.version)
+    }
+
+    /// The condition that `key` still has the stamp we know.
+    pub fn unchanged(&self, key: &str) -> When {
+        When {
+            k: key.to_string(),
+            stamp: self.stamps.get(key).copied().unwrap_or(0),
+        }
+    }
+
+    /// The batch under way was applied at revision `epoch`.
+    pub fn applied(&mut self, batch: &Batch, epoch: u64) {
+        for key in batch.puts() {
+            self.stamps.insert(key.to_string(), epoch);
+        }
+        for key in batch.deletes() {
+            self.stamps.remove(key);
+        }
+        for (rec, version) in &batch.recs {
+            if let Some(slot) = self.slots.get_mut(rec) {
+                slot.durable = slot.durable.max(*version);
+            }
+        }
+    }
+
+    /// Holds the next flush back after a failure.
+    pub fn back_off(&mut self, now: Micros, pause: Micros) {
+        self.not_before = self.not_before.max(now + pause.max(MILLI));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_change_during_a_flush_stays_dirty() {
+        let mut l = Ledger::default();
+        let rec = Rec::Page(0);
+        let v1 = l.touch(rec.clone(), 5);
+        let batch = Batch {
+            recs: vec![(rec.clone(), v1)],
+            txn: Txn::default(),
+            call: 1,
+        };
+        let v2 = l.touch(rec.clone(), 6);
+        l.applied(&batch, 9);
+        assert!(l.is_durable(&rec, v1));
+        assert!(!l.is_durable(&rec, v2));
+        assert_eq!(l.dirty(), vec![rec]);
+    }
+}
--- /dev/null
+++ b/crates/core/src/node.rs
@@ -0,0 +1,405 @@
+//! One controller: dispatches inputs to the parts, and keeps what all of them share.
+
+use crate::leadership::{Election, Lead};
+use crate::pace::Bucket;
+use crate::users::{PastJobs, UserCall};
+use crate::{
+    fleet, leadership, Call, Door, Effect, Input, Micros, Now, Outcome, Settings, Stopwatch,
+    Target, Tuning, MILLI, SECOND,
+};
+use grebewood_wire as wire;
+use grebewood_wire::http::{MachineType, Refusal};
+use grebewood_wire::peer::{PeerAnswer, PeerRequest};
+use log::{debug, info, warn};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+
+/// What a reply is for.
+#[derive(Debug)]
+pub enum Pending {
+    Election(leadership::Step),
+    Lead {
+        token: u64,
+        what: LeadCall,
+    },
+    User(UserCall),
+    /// The machine types, from state (true) or from the cloud.
+    Catalogue(bool),
+    Contact(usize),
+    /// Nothing depends on the reply.
+    Ignore,
+}
+
+/// Calls that the leader waits for; a reply that comes after it stepped down is dropped.
+#[derive(Debug)]
+pub enum LeadCall {
+    Extend,
+    List { prefix: &'static str },
+    Read { key: &'static str },
+    Watch { prefix: &'static str },
+    Flush,
+    FlushReadBack,
+    Refresh { key: String },
+    Fleet(fleet::FleetCall),
+    Direct { machine: String },
+}
+
+/// What all parts of a node share.
+pub struct Ctx {
+    pub settings: Settings,
+    pub tuning: Tuning,
+    pub now: Now,
+    pub rng: SmallRng,
+    pub out: Vec<Effect>,
+    next_call: u64,
+    pub calls: BTreeMap<u64, Pending>,
+    /// Requests to the state service on behalf of users.
+    pub reads: Bucket,
+    /// Puts on behalf of users.
+    pub writes: Bucket,
+    /// Puts of the leader.
+    pub lead_writes: Bucket,
+    pub cloud: Bucket,
+    pub last_contact: Option<Micros>,
+    pub catalogue: Option<Vec<MachineType>>,
+    /// Highest fencing token known.
+    pub token: u64,
+}
+
+impl Ctx {
+    /// Sends a call; `pending` says what its reply is for.
+    pub fn call(
+        &mut self,
+        target: Target,
+        method: &'static str,
+        path: String,
+        body: Vec<u8>,
+        timeout: Micros,
+        pending: Pending,
+    ) -> u64 {
+        self.next_call += 1;
+        let id = self.next_call;
+        self.calls.insert(id, pending);
+        self.out.push(Effect::Call(Call {
+            id,
+            target,
+            method,
+            path,
+            body,
+            timeout,
+        }));
+        id
+    }
+
+    /// Reads one key of the state service.
+    pub fn read_key(&mut self, key: &str, pending: Pending) -> u64 {
+        self.call(
+            Target::State,
+            "GET",
+            format!("/kv/{key}"),
+            Vec::new(),
+            STATE_TIMEOUT,
+            pending,
+        )
+    }
+
+    /// Posts to the state service.
+    pub fn post_state<T: serde::Serialize>(
+        &mut self,
+        path: &str,
+        body: &T,
+        pending: Pending,
+    ) -> u64 {
+        self.call(
+            Target::State,
+            "POST",
+            path.to_string(),
+            wire::to_cbor(body),
+            STATE_TIMEOUT,
+            pending,
+        )
+    }
+
+    pub fn answer<T: serde::Serialize>(&mut self, id: u64, status: u16, body: &T) {
+        self.out.push(Effect::Answer {
+            id,
+            status,
+            body: wire::to_cbor(body),
+            retry_after: None,
+        });
+    }
+
+    /// Refuses a request at once; a temporary refusal says when to come back.
+    pub fn refuse(&mut self, id: u64, status: u16, why: &str) {
+        let temporary = matches!(status, 429 | 503 | 504);
+        self.out.push(Effect::Answer {
+            id,
+            status,
+            body: wire::to_cbor(&Refusal { error: why.into() }),
+            retry_after: temporary.then_some(1),
+        });
+    }
+
+    pub fn contact_age(&self) -> Option<Micros> {
+        self.last_contact
+            .map(|at| self.now.steady.saturating_sub(at))
+    }
+
+    /// Whether the state service has answered within `span`.
+    pub fn in_contact(&self, span: Micros) -> bool {
+        self.contact_age().is_some_and(|age| age <= span)
+    }
+
+    /// A random time up to `most`.
+    pub fn jitter(&mut self, most: Micros) -> Micros {
+        self.rng.gen_range(0..=most)
+    }
+
+    /// The machine type with this name.
+    pub fn machine_type(&self, name: &str) -> Option<&MachineType> {
+        self.catalogue.as_ref()?.iter().find(|t| t.name == name)
+    }
+}
+
+/// How long the state service may take.
+pub const STATE_TIMEOUT: Micros = 1_500 * MILLI;
+/// Without contact for this long, a node takes no requests.
+pub const CONTACT_SPAN: Micros = 2_500 * MILLI;
+
+/// One controller.
+pub struct Node {
+    pub cx: Ctx,
+    pub election: Election,
+    pub lead: Option<Box<Lead>>,
+    pub past: PastJobs,
+    /// What the leader last said of live jobs: completed and running tasks.
+    pub progress: BTreeMap<String, (u64, u64)>,
+    catalogue_at: Micros,
+    catalogue_from_state: bool,
+    started: bool,
+}
+
+/// The share of the state service's write rate that the leader takes.
+const LEADER_WRITES: f64 = 0.7;
+
+impl Node {
+    /// A controller that has just started; `seed` must differ between processes.
+    pub fn new(settings: Settings, tuning: Tuning, seed: u64) -> Self {
+        let nodes = settings.siblings.len() as f64 + 1.0;
+        let user_writes = settings.state_write_rps * (1.0 - LEADER_WRITES);
+        let cx = Ctx {
+            reads: Bucket::new(settings.state_rps * 0.7 / nodes),
+            // A burst of submissions may use most of one second's worth at one node.
+            writes: Bucket::with_depth(user_writes / nodes, settings.state_write_rps * 0.4),
+            lead_writes: Bucket::new(settings.state_write_rps * LEADER_WRITES),
+            cloud: Bucket::new(settings.cloud_rps * 0.8),
+            settings,
+            tuning,
+            now: Now::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            out: Vec::new(),
+            next_call: 0,
+            calls: BTreeMap::new(),
+            last_contact: None,
+            catalogue: None,
+            token: 0,
+        };
+        Node {
+            election: Election::new(seed),
+            cx,
+            lead: None,
+            past: PastJobs::new(20_000),
+            progress: BTreeMap::new(),
+            catalogue_at: 0,
+            catalogue_from_state: true,
+            started: false,
+        }
+    }
+
+    /// Takes one input and returns what is to be done.
+    pub fn step(&mut self, now: Now, input: Input, watch: &mut dyn Stopwatch) -> Vec<Effect> {
+        self.cx.now = now;
+        if !self.started {
+            self.started = true;
+            info!("{}: started", self.cx.settings.member);
+        }
+        match input {
+            Input::Request {
+                id,
+                door,
+                method,
+                path,
+                body,
+            } => self.on_request(id, door, &method, &path, &body),
+            Input::Gone { id } => {
+                if let Some(lead) = &mut self.lead {
+                    lead.held.retain(|h| h.request != id);
+                }
+            }
+            Input::Reply { call, outcome } => self.on_reply(call, outcome),
+            Input::Tick => {}
+        }
+        self.run_timers(watch);
+        std::mem::take(&mut self.cx.out)
+    }
+
+    /// When the next [`Input::Tick`] is due.
+    pub fn next_wake(&self) -> Micros {
+        let mut at = self.election.next_wake();
+        if self.cx.catalogue.is_none() {
+            at = at.min(self.catalogue_at);
+        }
+        if let Some(lead) = &self.lead {
+            at = at.min(lead.next_wake(&self.cx));
+        }
+        at.max(self.cx.now.steady + MILLI)
+    }
+
+    /// Whether this node can take users' requests.
+    pub fn healthy(&self) -> bool {
+        self.cx.catalogue.is_some() && self.cx.in_contact(CONTACT_SPAN)
+    }
+
+    fn on_request(&mut self, id: u64, door: Door, method: &str, path: &str, body: &[u8]) {
+        if door == Door::Peer {
+            return match (method, path) {
+                ("POST", "/peer") => self.on_peer(id, body),
+                (_, "/peer") => self.cx.refuse(id, 405, "only POST"),
+                _ => self.cx.refuse(id, 404, "no such path"),
+            };
+        }
+        match path {
+            "/healthz" if method == "GET" => {
+                if self.healthy() {
+                    self.cx.answer(id, 200, &"ok");
+                } else {
+                    self.cx.refuse(id, 503, "no contact with the state service");
+                }
+            }
+            "/checkin" if method == "POST" => self.on_checkin(id, body),
+            "/submissions" if method == "POST" => self.on_submission(id, body),
+            "/healthz" | "/checkin" | "/submissions" => {
+                self.cx.refuse(id, 405, "wrong method for this path")
+            }
+            _ => match path.strip_prefix("/submissions/") {
+                Some(rest) => match (method, rest.strip_suffix("/cancel")) {
+                    ("POST", Some(job)) => self.on_cancel(id, job),
+                    (_, Some(_)) => self.cx.refuse(id, 405, "only POST"),
+                    ("GET", None) => self.on_poll(id, rest),
+                    (_, None) => self.cx.refuse(id, 405, "only GET"),
+                },
+                None => self.cx.refuse(id, 404, "no such path"),
+            },
+        }
+    }
+
+    fn on_peer(&mut self, id: u64, body: &[u8]) {
+        let request: PeerRequest = match wire::from_peer(body) {
+            Ok(request) => request,
+            Err(e) => {
+                warn!("peer: {e}");
+                return self.cx.refuse(id, 400, "not a peer message");
+            }
+        };
+        match request {
+            PeerRequest::Contact { from } => debug!("peer {from}: asks for contact"),
+            // Only the leader that the state service names may tell about progress.
+            PeerRequest::Progress { from, token, jobs } => {
+                if self.election.leader_is(&from, token) {
+                    for (job, done, running) in jobs {
+                        self.progress.insert(job, (done, running));
+                    }
+                    while self.progress.len() > 4_000 {
+                        self.progress.pop_first();
+                    }
+                }
+            }
+        }
+        let answer = PeerAnswer {
+            member: self.cx.settings.member.clone(),
+            state_contact_age_us: self.cx.contact_age(),
+            token: self.cx.token,
+        };
+        self.cx.out.push(Effect::Answer {
+            id,
+            status: 200,
+            body: wire::to_peer(&answer),
+            retry_after: None,
+        });
+    }
+
+    fn on_reply(&mut self, call: u64, outcome: Outcome) {
+        let Some(pending) = self.cx.calls.remove(&call) else {
+            return;
+        };
+        // Any answer but "unavailable" shows that the state service serves this node.
+        let of_state = match &pending {
+            Pending::Election(_) | Pending::User(_) | Pending::Catalogue(true) => true,
+            Pending::Lead { what, .. } => {
+                !matches!(what, LeadCall::Fleet(_) | LeadCall::Direct { .. })
+            }
+            _ => false,
+        };
+        if let (true, Outcome::Answer { status, .. }) = (of_state, &outcome) {
+            if *status < 500 {
+                self.cx.last_contact = Some(self.cx.now.steady);
+            }
+        }
+        match pending {
+            Pending::Election(step) => self.on_election(step, outcome),
+            Pending::Lead { token, what } => {
+                if self.lead.as_ref().is_some_and(|l| l.token == token) {
+                    self.on_lead_reply(what, outcome);
+                }
+            }
+            Pending::User(user) => self.on_user_reply(user, outcome),
+            Pending::Catalogue(from_state) => self.on_catalogue(from_state, outcome),
+            Pending::Contact(peer) => self.on_contact(peer, outcome),
+            Pending::Ignore => {}
+        }
+    }
+
+    fn on_catalogue(&mut self, from_state: bool, outcome: Outcome) {
+        let Outcome::Answer { status: 200, body } = outcome else {
+            // Not in state yet: the cloud knows. Not at the cloud either: ask state again.
+            self.catalogue_from_state = !from_state;
+            return;
+        };
+        let builds = if from_state {
+            wire::from_cbor::<wire::http::Entry<wire::http::Catalogue>>(&body).map(|e| e.value)
+        } else {
+            wire::from_cbor::<wire::http::Catalogue>(&body)
+        };
+        match builds {
+            Ok(c) if !c.builds.is_empty() => self.cx.catalogue = Some(c.builds),
+            Ok(_) => self.catalogue_from_state = !from_state,
+            Err(e) => {
+                warn!("machine types: {e}");
+                self.catalogue_from_state = !from_state;
+            }
+        }
+    }
+
+    fn run_timers(&mut self, watch: &mut dyn Stopwatch) {
+        let now = self.cx.now.steady;
+        if self.cx.catalogue.is_none() && now >= self.catalogue_at {
+            self.catalogue_at = now + 500 * MILLI;
+            if self.catalogue_from_state {
+                self.cx
+                    .read_key(wire::records::CATALOGUE, Pending::Catalogue(true));
+            } else if self.cx.cloud.take(now, 1.0) {
+                self.cx.call(
+                    Target::Cloud,
+                    "GET",
+                    "/machine_types".into(),
+                    Vec::new(),
+                    3 * SECOND,
+                    Pending::Catalogue(false),
+                );
+            }
+        }
+        self.run_election();
+        self.run_lead(watch);
+    }
+}
--- /dev/null
+++ b/crates/core/src/pace.rs
@@ -0,0 +1,92 @@
+//! Token buckets: the controllers share the rates of the state service and the cloud.
+
+use crate::{Micros, SECOND};
+
+/// A token bucket that holds at most one second's worth.
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    rate: f64,
+    depth: f64,
+    level: f64,
+    at: Micros,
+}
+
+impl Bucket {
+    /// A full bucket that refills `rate` tokens a second.
+    pub fn new(rate: f64) -> Self {
+        let depth = rate.max(1.0);
+        Bucket {
+            rate,
+            depth,
+            level: depth,
+            at: 0,
+        }
+    }
+
+    /// A full bucket with room for at least `depth` tokens.
+    pub fn with_depth(rate: f64, depth: f64) -> Self {
+        let mut bucket = Bucket::new(rate);
+        bucket.depth = bucket.depth.max(depth);
+        bucket.level = bucket.depth;
+        bucket
+    }
+
+    /// Changes the rate, as when a node becomes the leader.
+    pub fn set_rate(&mut self, now: Micros, rate: f64) {
+        self.refill(now);
+        self.rate = rate;
+        self.depth = rate.max(1.0);
+        self.level = self.level.min(self.depth);
+    }
+
+    fn refill(&mut self, now: Micros) {
+        let passed = now.saturating_sub(self.at);
+        self.at = self.at.max(now);
+        self.level = (self.level + passed as f64 / SECOND as f64 * self.rate).min(self.depth);
+    }
+
+    /// Takes `n` tokens if they are there. More than the depth is taken from a full bucket.
+    pub fn take(&mut self, now: Micros, n: f64) -> bool {
+        self.refill(now);
+        if self.level + 1e-9 >= n.min(self.depth) {
+            self.level -= n;
+            true
+        } else {
+            false
+        }
+    }
+
+    /// Whole tokens that can be taken now.
+    pub fn available(&mut self, now: Micros) -> usize {
+        self.refill(now);
+        self.level.max(0.0) as usize
+    }
+
+    /// When `n` tokens will be there.
+    pub fn ready_at(&mut self, now: Micros, n: f64) -> Micros {
+        self.refill(now);
+        let missing = (n.min(self.depth) - self.level).max(0.0);
+        now + (missing / self.rate.max(1e-6) * SECOND as f64).ceil() as Micros
+    }
+
+    /// Empties the bucket, as after an answer 429.
+    pub fn drain(&mut self, now: Micros) {
+        self.refill(now);
+        self.level = self.level.min(0.0);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_bucket_refills_at_its_rate_and_no_deeper_than_a_second() {
+        let mut b = Bucket::new(4.0);
+        assert!((0..4).all(|_| b.take(0, 1.0)));
+        assert!(!b.take(0, 1.0));
+        assert_eq!(b.ready_at(0, 1.0), SECOND / 4);
+        assert!(b.take(SECOND / 4, 1.0));
+        assert_eq!(b.available(100 * SECOND), 4);
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement.rs
@@ -0,0 +1,427 @@
+//! Which task goes to which machine.
+//!
+//! A round serves jobs by priority, guarantee and deadline, each as far as its team's limit and
+//! the free room allow. It has a time budget: a round that runs out of it goes on with the next
+//! job the next time.
+
+use crate::jobs::{fits_type, rank, JobIx, EPS};
+use crate::leadership::Lead;
+use crate::ledger::Rec;
+use crate::node::Ctx;
+use crate::workers::{leeway, Assignment, Machine, Seen};
+use crate::{micros, Micros, Stopwatch, SECOND};
+use grebewood_wire::http::{Precedence, Submission};
+use grebewood_wire::records::{MachineAssignments, PageRecord};
+use log::debug;
+use std::collections::BTreeMap;
+
+/// A page of assignments: which machines are on it, and how large it is.
+#[derive(Clone, Debug, Default)]
+pub struct Page {
+    machines: BTreeMap<String, usize>,
+    bytes: usize,
+    /// Its record cannot be read; it is kept as it is.
+    pub broken: bool,
+}
+
+impl Page {
+    /// Upper bounds of what an assignment and a machine take in the record's JSON form.
+    fn assignment_size(a: &Assignment) -> usize {
+        a.job_id.len() + 36
+    }
+
+    fn machine_size(machine: &str, a: &Assignment) -> usize {
+        machine.len() + a.zone.len() + 60
+    }
+
+    pub fn add(&mut self, machine: &str, a: &Assignment) {
+        let n = self.machines.entry(machine.to_string()).or_insert(0);
+        if *n == 0 {
+            self.bytes += Page::machine_size(machine, a);
+        }
+        *n += 1;
+        self.bytes += Page::assignment_size(a);
+    }
+
+    pub fn remove(&mut self, machine: &str, a: &Assignment) {
+        let Some(n) = self.machines.get_mut(machine) else {
+            return;
+        };
+        *n -= 1;
+        let mut freed = Page::assignment_size(a);
+        if *n == 0 {
+            self.machines.remove(machine);
+            freed += Page::machine_size(machine, a);
+        }
+        self.bytes = self.bytes.saturating_sub(freed);
+    }
+}
+
+/// State of the rounds.
+#[derive(Clone, Debug, Default)]
+pub struct Placement {
+    pub next_at: Micros,
+    /// Something changed that may let a task be placed.
+    pub wanted: bool,
+    /// Where the last round stopped for lack of time.
+    resume: Option<JobIx>,
+    /// Nothing is placed before this time: a page could not be read.
+    pub quarantine_until: Micros,
+    next_preemption: Micros,
+}
+
+/// Use of a team: CPUs and accelerators.
+type Usage = BTreeMap<String, (f64, f64)>;
+
+impl Lead {
+    pub(crate) fn page_mut(&mut self, n: u64) -> &mut Page {
+        // Page numbers come from our own keys and are dense; a wild one would only cost room.
+        let n = n.min(100_000) as usize;
+        if self.pages.len() <= n {
+            self.pages.resize(n + 1, Page::default());
+        }
+        &mut self.pages[n]
+    }
+
+    /// A page with room for `count` more assignments; one that will be written anyway if there
+    /// is one.
+    pub(crate) fn page_with_room(&mut self, count: usize) -> u64 {
+        let most = self.page_bytes;
+        let fits = |p: &Page| !p.broken && p.bytes + count * 160 <= most;
+        let dirty = (0..self.pages.len())
+            .find(|n| fits(&self.pages[*n]) && self.ledger.is_dirty(&Rec::Page(*n as u64)));
+        let any = dirty.or_else(|| (0..self.pages.len()).find(|n| fits(&self.pages[*n])));
+        let n = any.unwrap_or(self.pages.len());
+        self.page_mut(n as u64);
+        n as u64
+    }
+
+    /// The current content of a page.
+    pub(crate) fn page_record(&self, n: u64) -> PageRecord {
+        let mut record = PageRecord::default();
+        let Some(page) = self.pages.get(n as usize) else {
+            return record;
+        };
+        for name in page.machines.keys() {
+            let Some(m) = self.machines.get(name) else {
+                continue;
+            };
+            let mut groups: BTreeMap<u64, Vec<(String, u64, u64)>> = BTreeMap::new();
+            for a in m.assignments.iter().filter(|a| a.page == n) {
+                groups
+                    .entry(a.tenure)
+                    .or_default()
+                    .push((a.job_id.clone(), a.task, a.attempt));
+            }
+            for (tenure, t) in groups {
+                record.machines.push(MachineAssignments {
+                    m: name.clone(),
+                    tenure,
+                    zone: m.zone.clone(),
+                    t,
+                });
+            }
+        }
+        record
+    }
+
+    /// What each team uses, from assignment to proof.
+    pub(crate) fn usage(&self) -> Usage {
+        let mut usage = Usage::new();
+        for a in self.machines.values().flat_map(|m| &m.assignments) {
+            match usage.get_mut(&a.team) {
+                Some(u) => {
+                    u.0 += a.cpus;
+                    u.1 += a.gpus;
+                }
+                None => {
+                    usage.insert(a.team.clone(), (a.cpus, a.gpus));
+                }
+            }
+        }
+        usage
+    }
+
+    /// The order in which waiting jobs are served.
+    fn queue(&self, cx: &Ctx, usage: &Usage) -> Vec<JobIx> {
+        let now = cx.now.steady;
+        let mut queue: Vec<((u8, bool, bool, i64), JobIx)> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.waiting() > 0 && j.retry_at <= now)
+            .map(|(ix, j)| {
+                let need = self.stats.expected_run(&j.spec);
+                let (at, feasible) =
+                    j.target(&cx.settings, cx.tuning.default_deadline_us, now, need);
+                let used = usage.get(&j.spec.owner).copied().unwrap_or((0.0, 0.0));
+                let within = cx
+                    .settings
+                    .teams
+                    .get(&j.spec.owner)
+                    .is_some_and(|t| used.0 + j.spec.vcpus <= t.cpus + EPS);
+                let key = (3 - rank(j.spec.precedence), !feasible, !within, at);
+                (key, ix)
+            })
+            .collect();
+        queue.sort();
+        queue.into_iter().map(|(_, ix)| ix).collect()
+    }
+
+    pub(crate) fn run_placement(&mut self, cx: &mut Ctx, watch: &mut dyn Stopwatch) {
+        let now = cx.now.steady;
+        if now < self.placement.next_at {
+            return;
+        }
+        self.placement.next_at = now + cx.tuning.placement_interval_us;
+        if !self.placement.wanted && self.placement.resume.is_none() {
+            // Rounds without news are needed only for what time itself changes.
+            self.placement.next_at = now + SECOND;
+        }
+        if now < self.placement.quarantine_until {
+            return;
+        }
+        self.placement.wanted = false;
+        let mut usage = self.usage();
+        let mut queue = self.queue(cx, &usage);
+        if let Some(from) = self.placement.resume.take() {
+            if let Some(at) = queue.iter().position(|ix| *ix == from) {
+                queue.rotate_left(at);
+            }
+        }
+        for ix in queue {
+            if watch.elapsed() > cx.tuning.placement_budget_us {
+                self.placement.resume = Some(ix);
+                debug!("placement: out of time, goes on with the next round");
+                break;
+            }
+            self.place_job(cx, ix, &mut usage);
+        }
+        if now >= self.placement.next_preemption {
+            self.placement.next_preemption = now + SECOND;
+            self.preempt(cx, &usage);
+        }
+    }
+
+    /// Places as many tasks of a job as the team's limit and the machines allow.
+    fn place_job(&mut self, cx: &mut Ctx, ix: JobIx, usage: &mut Usage) {
+        let now = cx.now.steady;
+        let Some(job) = self.jobs.get(ix) else { return };
+        let Some(team) = cx.settings.teams.get(&job.spec.owner) else {
+            return;
+        };
+        let spec = job.spec.clone();
+        let used = usage.entry(spec.owner.clone()).or_insert((0.0, 0.0));
+        let mut left = job.waiting();
+        // A job whose tasks keep failing is tried with one task at a time.
+        if job.errors >= 3 {
+            let live: u32 = job.zones.values().sum();
+            left = left.min(1u64.saturating_sub(live as u64));
+        }
+        let expected = self.stats.expected_run(&spec);
+        let silence = cx.settings.report * 3;
+        let mut candidates: Vec<(String, (bool, bool, i64), u64)> = self
+            .machines
+            .values()
+            .filter(|m| m.usable(now, silence) && permits(cx, &spec, m))
+            .filter_map(|m| {
+                let slots = slots(m.free(), &spec);
+                let (free, _, _) = m.free();
+                let key = (!m.has_image(&spec.bundle), !m.spot, (free * 1e3) as i64);
+                (slots > 0).then(|| (m.name.clone(), key, slots))
+            })
+            .collect();
+        candidates.sort_by(|a, b| (a.1, &a.0).cmp(&(b.1, &b.0)));
+        let fixed_zone = self.fixed_zone(ix, &spec, &candidates);
+        for (name, _, slots) in candidates {
+            let Some(zone) = self.machines.get(&name).map(|m| m.zone.clone()) else {
+                continue;
+            };
+            if fixed_zone.as_ref().is_some_and(|z| *z != zone) {
+                continue;
+            }
+            for _ in 0..slots {
+                if left == 0
+                    || used.0 + spec.vcpus > team.cpus_max + EPS
+                    || used.1 + spec.accelerators > team.gpus_max + EPS
+                {
+                    return;
+                }
+                let Some(job) = self.jobs.get_mut(ix) else {
+                    return;
+                };
+                let here = job.zones.get(&zone).copied().unwrap_or(0) as u64;
+                if spec.spread && here >= spec.shards.div_ceil(2) {
+                    break;
+                }
+                let Some(task) = job.next_waiting() else {
+                    return;
+                };
+                job.take(task);
+                *job.zones.entry(zone.clone()).or_insert(0) += 1;
+                if job.waiting() == 0 {
+                    job.waiting_since = None;
+                }
+                left -= 1;
+                used.0 += spec.vcpus;
+                used.1 += spec.accelerators;
+                self.assign(cx, &name, ix, task, &spec, expected);
+            }
+        }
+    }
+
+    /// The zone that a `one_zone` job is bound to: where its tasks are, else where most fit.
+    fn fixed_zone(
+        &self,
+        ix: JobIx,
+        spec: &Submission,
+        candidates: &[(String, (bool, bool, i64), u64)],
+    ) -> Option<String> {
+        if !spec.one_zone {
+            return None;
+        }
+        let job = self.jobs.get(ix)?;
+        if let Some((zone, _)) = job.zones.iter().find(|(_, n)| **n > 0) {
+            return Some(zone.clone());
+        }
+        let mut room: BTreeMap<&str, u64> = BTreeMap::new();
+        for (name, _, slots) in candidates {
+            if let Some(m) = self.machines.get(name) {
+                *room.entry(&m.zone).or_insert(0) += slots;
+            }
+        }
+        room.into_iter()
+            .max_by_key(|(_, n)| *n)
+            .map(|(z, _)| z.to_string())
+    }
+
+    fn assign(
+        &mut self,
+        cx: &Ctx,
+        name: &str,
+        job: JobIx,
+        task: u64,
+        spec: &Submission,
+        expected: Micros,
+    ) {
+        let now = cx.now.steady;
+        let page = self.page_with_room(1);
+        let attempt = self.next_attempt();
+        let written = self.ledger.touch(Rec::Page(page), now);
+        let Some(m) = self.machines.get_mut(name) else {
+            return;
+        };
+        let assignment = Assignment {
+            job,
+            job_id: spec.uid.clone(),
+            task,
+            attempt,
+            tenure: m.tenure,
+            page,
+            written,
+            cpus: spec.vcpus,
+            gpus: spec.accelerators,
+            memory: spec.memory_gb,
+            team: spec.owner.clone(),
+            zone: m.zone.clone(),
+            launched: None,
+            seen: Seen::Never,
+            decided: now,
+            started: None,
+            expected,
+            stop: None,
+        };
+        m.use_image(&spec.bundle, spec.pull_gb);
+        m.idle_since = now;
+        m.assignments.push(assignment.clone());
+        self.page_mut(page).add(name, &assignment);
+    }
+
+    /// Stops tasks of lower priority that can save, for jobs of high priority that wait.
+    fn preempt(&mut self, cx: &mut Ctx, usage: &Usage) {
+        let now = cx.now.steady;
+        let mut wanted: f64 = 0.0;
+        let mut least = Precedence::Prod;
+        for (_, j) in self.jobs.iter() {
+            let waited = j.waiting_since.map_or(0, |at| now.saturating_sub(at));
+            if j.spec.precedence < Precedence::High
+                || j.waiting() == 0
+                || j.retry_at > now
+                || waited < cx.tuning.preempt_after_us
+            {
+                continue;
+            }
+            let Some(team) = cx.settings.teams.get(&j.spec.owner) else {
+                continue;
+            };
+            let used = usage.get(&j.spec.owner).map_or(0.0, |u| u.0);
+            let room = ((team.cpus_max - used) / j.spec.vcpus.max(EPS)).max(0.0);
+            wanted += (j.waiting() as f64).min(room.floor()) * j.spec.vcpus;
+            least = least.min(j.spec.precedence);
+        }
+        // What is being stopped already will be free soon.
+        for a in self.machines.values().flat_map(|m| &m.assignments) {
+            if a.stop.is_some() {
+                wanted -= a.cpus;
+            }
+        }
+        if wanted <= EPS {
+            return;
+        }
+        let mut victims: Vec<(Micros, String, u64, Micros, f64)> = Vec::new();
+        for m in self.machines.values() {
+            if m.closing || m.recall_at.is_some() {
+                continue;
+            }
+            for a in &m.assignments {
+                let Some(job) = self.jobs.get(a.job) else {
+                    continue;
+                };
+                let ran = a.started.map_or(0, |at| now.saturating_sub(at));
+                if a.stop.is_some()
+                    || job.spec.precedence >= least
+                    || job.spec.precedence > Precedence::Normal
+                    || job.spec.savepoint_s <= 0.0
+                    || a.seen != Seen::Running
+                    || ran < 31 * SECOND
+                    || a.remaining(now, 0) < 10 * SECOND
+                {
+                    continue;
+                }
+                let stop = leeway(micros(job.spec.flush_s));
+                victims.push((ran, m.name.clone(), a.attempt, stop, a.cpus));
+            }
+        }
+        victims.sort_by(|a, b| a.0.cmp(&b.0).then(a.2.cmp(&b.2)));
+        for (_, name, attempt, stop, cpus) in victims {
+            if wanted <= EPS {
+                break;
+            }
+            wanted -= cpus;
+            self.stop_on(cx, &name, stop, |a| a.attempt == attempt);
+        }
+    }
+}
+
+/// Whether the job permits the machine.
+fn permits(cx: &Ctx, spec: &Submission, m: &Machine) -> bool {
+    (spec.loaner || !m.spot)
+        && spec.yard.as_ref().is_none_or(|y| *y == m.zone)
+        && cx
+            .machine_type(&m.machine_type)
+            .is_some_and(|t| fits_type(spec, t))
+}
+
+/// How many tasks of the job fit into the free room.
+pub(crate) fn slots(free: (f64, f64, f64), spec: &Submission) -> u64 {
+    let fit = |have: f64, need: f64| {
+        if need <= EPS {
+            f64::MAX
+        } else {
+            ((have + EPS) / need).floor()
+        }
+    };
+    fit(free.0, spec.vcpus)
+        .min(fit(free.1, spec.accelerators))
+        .min(fit(free.2, spec.memory_gb))
+        .clamp(0.0, 1e5) as u64
+}
--- /dev/null
+++ b/crates/core/src/settings.rs
@@ -0,0 +1,117 @@
+//! What the platform hands over ([`Settings`]) and what operators may tune ([`Tuning`]).
+
+use crate::{Micros, SECOND};
+use std::collections::BTreeMap;
+
+/// A team's guarantee and limit. A limit of 0 means none of that resource.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Team {
+    pub cpus: f64,
+    pub cpus_max: f64,
+    pub gpus: f64,
+    pub gpus_max: f64,
+}
+
+/// Another controller.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sibling {
+    pub member: String,
+    pub zone: String,
+}
+
+/// An aim of the users, as far as the scheduler can use it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Objective {
+    pub kind: String,
+    pub class: String,
+    pub within: Option<Micros>,
+    pub share: f64,
+}
+
+/// The settings of one controller.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    pub member: String,
+    pub zone: String,
+    pub siblings: Vec<Sibling>,
+    pub teams: BTreeMap<String, Team>,
+    pub objectives: Vec<Objective>,
+    pub report: Micros,
+    pub lease: Micros,
+    pub cancel: Micros,
+    pub state_rps: f64,
+    pub state_write_rps: f64,
+    pub value_bytes: usize,
+    pub txn_ops: usize,
+    pub cloud_rps: f64,
+    pub list_lag: Micros,
+}
+
+macro_rules! tuning {
+    ($($(#[doc = $doc:literal])+ $name:ident : $kind:ident = $default:expr, $low:expr, $high:expr;)*) => {
+        /// Operators' settings, from the INI file given with `--tuning`.
+        #[derive(Clone, Debug, PartialEq)]
+        pub struct Tuning { $($(#[doc = $doc])+ pub $name: $kind,)* }
+
+        impl Default for Tuning {
+            fn default() -> Self {
+                Tuning { $($name: $default,)* }
+            }
+        }
+
+        impl Tuning {
+            /// Every key with its description, default, lowest and highest value.
+            pub const KEYS: &'static [(&'static str, &'static str, f64, f64, f64)] =
+                &[$((stringify!($name), concat!($($doc),+), $default as f64, $low as f64, $high as f64),)*];
+
+            /// Sets one key; the error says what is wrong with it.
+            pub fn set(&mut self, key: &str, value: &str) -> Result<(), String> {
+                match key {
+                    $(stringify!($name) => {
+                        let parsed: $kind = value
+                            .trim()
+                            .parse()
+                            .map_err(|_| format!("{key}: {value:?} is not a number"))?;
+                        if !(($low as f64)..=($high as f64)).contains(&(parsed as f64)) {
+                            return Err(format!("{key}: {value} is not within {} and {}", $low, $high));
+                        }
+                        self.$name = parsed;
+                        Ok(())
+                    })*
+                    _ => Err(format!("{key}: no such key")),
+                }
+            }
+        }
+    };
+}
+
+tuning! {
+    /// How long the leader's lease lasts without a renewal, in microseconds.
+    leader_lease_us: u64 = 4 * SECOND, SECOND, 60 * SECOND;
+    /// Shortest time between two writes of the ledger, in microseconds.
+    flush_interval_us: u64 = 60_000, 1_000, SECOND;
+    /// Time between two rounds of placement, in microseconds.
+    placement_interval_us: u64 = 100_000, 10_000, 10 * SECOND;
+    /// Time budget of one round of placement, in microseconds.
+    placement_budget_us: u64 = 4_000, 100, SECOND;
+    /// Time between two rounds of the fleet's decider, in microseconds.
+    decider_interval_us: u64 = 2 * SECOND, 100_000, 600 * SECOND;
+    /// How long a machine stays idle before it may be returned, in microseconds.
+    idle_hold_us: u64 = 20 * SECOND, 0, 3_600 * SECOND;
+    /// Time to finish in for a class that has neither deadline nor objective, in microseconds.
+    default_deadline_us: u64 = 3_600 * SECOND, SECOND, 86_400 * SECOND;
+    /// Share of the time to a deadline that the decider plans with.
+    deadline_share: f64 = 0.6, 0.05, 1.0;
+    /// Part of a machine that the unmet work must fill before one more is rented.
+    rent_threshold: f64 = 0.4, 0.0, 1.0;
+    /// What the risk of losing a spot machine adds to its price, as a factor.
+    spot_risk: f64 = 1.25, 1.0, 10.0;
+    /// How late a boot may be, as a multiple of the average, before it counts as overdue.
+    boot_overdue: f64 = 2.0, 1.0, 100.0;
+    /// Shortest wait before a task may preempt others, in microseconds.
+    preempt_after_us: u64 = 2 * SECOND, 0, 600 * SECOND;
+    /// Time between two reads of the cloud's machine list, in microseconds.
+    list_interval_us: u64 = 3 * SECOND, 100_000, 600 * SECOND;
+    /// Largest number of machines rented at once, booting ones included.
+    fleet_max: u64 = 1_000, 1, 100_000;
+}
--- /dev/null
+++ b/crates/core/src/users.rs
@@ -0,0 +1,410 @@
+//! Users' requests: submissions, polls and cancellations, at any node.
+//!
+//! Every node serves users from the state service itself, so that no node can give an answer
+//! older than another's. A live job has a `job/<id>` key; when it is over, one transaction puts
+//! `past/<id>` and deletes `job/<id>` and `cancel/<id>`. The keys are read in the order cancel,
+//! job, past: a job found live after its cancellation was not found had not been cancelled when
+//! the first read was made (the other order could miss a cancellation that is cleaned up in
+//! between), and a job found neither live nor past was never accepted.
+
+use crate::jobs::{check_fields, check_possible, valid_id, Refused};
+use crate::ledger::Rec;
+use crate::node::{Ctx, Node, Pending};
+use crate::Outcome;
+use grebewood_wire as wire;
+use grebewood_wire::http::{Accepted, Change, Entry, JobStatus, Submission, Txn, When};
+use grebewood_wire::records::{CancelRecord, JobRecord, PastRecord, CANCEL, JOB, PAST};
+use log::{debug, warn};
+use std::collections::{BTreeMap, VecDeque};
+
+/// What a user asked for.
+#[derive(Clone, Debug)]
+pub enum Ask {
+    Submit(Box<Submission>),
+    Poll,
+    Cancel,
+}
+
+/// How far a user's request has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// The transaction that accepts the job.
+    Accept,
+    ReadJob,
+    ReadCancel,
+    ReadPast,
+    /// The transaction that cancels the job.
+    Cancel,
+}
+
+/// A user's request that waits for the state service.
+#[derive(Clone, Debug)]
+pub struct UserCall {
+    pub request: u64,
+    pub job: String,
+    pub ask: Ask,
+    pub stage: Stage,
+    /// Tasks and stamp of the live job, once read.
+    live: Option<(u64, u64)>,
+    /// The accepting transaction had no clear outcome.
+    doubtful: bool,
+    rounds: u8,
+}
+
+/// Jobs that are over, which never changes: a bounded cache.
+#[derive(Debug)]
+pub struct PastJobs {
+    known: BTreeMap<String, PastRecord>,
+    order: VecDeque<String>,
+    most: usize,
+}
+
+impl PastJobs {
+    pub fn new(most: usize) -> Self {
+        PastJobs {
+            known: BTreeMap::new(),
+            order: VecDeque::new(),
+            most,
+        }
+    }
+
+    pub fn get(&self, job: &str) -> Option<&PastRecord> {
+        self.known.get(job)
+    }
+
+    pub fn insert(&mut self, job: &str, record: PastRecord) {
+        if self.known.insert(job.to_string(), record).is_none() {
+            self.order.push_back(job.to_string());
+            if self.order.len() > self.most {
+                if let Some(oldest) = self.order.pop_front() {
+                    self.known.remove(&oldest);
+                }
+            }
+        }
+    }
+}
+
+impl Node {
+    pub(crate) fn on_submission(&mut self, id: u64, body: &[u8]) {
+        let submission: Submission = match wire::from_cbor(body) {
+            Ok(s) => s,
+            Err(e) => return self.cx.refuse(id, 400, &e.to_string()),
+        };
+        if let Err(Refused::Invalid(why)) = check_fields(&submission) {
+            return self.cx.refuse(id, 400, &why);
+        }
+        let job = submission.uid.clone();
+        if let Some(past) = self.past.get(&job) {
+            let accepted = Accepted {
+                uid: job,
+                status: past.status.clone(),
+            };
+            return self.cx.answer(id, 200, &accepted);
+        }
+        let Some(catalogue) = &self.cx.catalogue else {
+            return self.cx.refuse(id, 503, "machine types are not known yet");
+        };
+        // A repeated submission of an accepted job must not get 422, so when this one could not
+        // run, it is looked up before it is refused.
+        let possible = check_possible(&submission, &self.cx.settings, catalogue).is_ok();
+        if !self.cx.in_contact(crate::node::CONTACT_SPAN) {
+            return self.cx.refuse(id, 503, "no contact with the state service");
+        }
+        let now = self.cx.now.steady;
+        let mut call = UserCall {
+            request: id,
+            job,
+            ask: Ask::Submit(Box::new(submission)),
+            stage: Stage::Accept,
+            live: None,
+            doubtful: false,
+            rounds: 0,
+        };
+        if !possible {
+            call.stage = Stage::ReadCancel;
+            return self.user_send(call);
+        }
+        if !self.cx.writes.take(now, 1.0) {
+            return self.cx.refuse(id, 429, "too many submissions");
+        }
+        self.user_send(call);
+    }
+
+    pub(crate) fn on_poll(&mut self, id: u64, job: &str) {
+        self.ask(id, job, Ask::Poll);
+    }
+
+    pub(crate) fn on_cancel(&mut self, id: u64, job: &str) {
+        self.ask(id, job, Ask::Cancel);
+    }
+
+    fn ask(&mut self, id: u64, job: &str, ask: Ask) {
+        if !valid_id(job) {
+            return self.cx.refuse(id, 404, "no such job");
+        }
+        let call = UserCall {
+            request: id,
+            job: job.to_string(),
+            ask,
+            stage: Stage::ReadCancel,
+            live: None,
+            doubtful: false,
+            rounds: 0,
+        };
+        if let Some(past) = self.past.get(job) {
+            let past = past.clone();
+            return self.user_past(call, &past);
+        }
+        if !self.cx.in_contact(crate::node::CONTACT_SPAN) {
+            return self.cx.refuse(id, 503, "no contact with the state service");
+        }
+        self.user_send(call);
+    }
+
+    /// Sends the request of the call's stage to the state service.
+    fn user_send(&mut self, mut call: UserCall) {
+        let now = self.cx.now.steady;
+        call.rounds += 1;
+        if call.rounds > 8 {
+            return self.cx.refuse(call.request, 503, "too many conflicts");
+        }
+        if !self.cx.reads.take(now, 1.0) {
+            return self.cx.refuse(call.request, 429, "too many requests");
+        }
+        match call.stage {
+            Stage::Accept => {
+                let Ask::Submit(spec) = &call.ask else { return };
+                let record = JobRecord {
+                    spec: (**spec).clone(),
+                    accepted_us: self.cx.now.wall,
+                };
+                let key = format!("{JOB}{}", call.job);
+                let txn = Txn {
+                    when: vec![absent(&key), absent(&format!("{PAST}{}", call.job))],
+                    apply: vec![put(key, &record)],
+                };
+                self.cx.post_state("/txn", &txn, Pending::User(call));
+            }
+            Stage::Cancel => {
+                let Some((_, stamp)) = call.live else { return };
+                let key = format!("{CANCEL}{}", call.job);
+                let live = When {
+                    k: format!("{JOB}{}", call.job),
+                    stamp,
+                };
+                let record = CancelRecord {
+                    cancelled_us: self.cx.now.wall,
+                };
+                let txn = Txn {
+                    when: vec![live, absent(&key)],
+                    apply: vec![put(key, &record)],
+                };
+                self.cx.post_state("/txn", &txn, Pending::User(call));
+            }
+            Stage::ReadJob | Stage::ReadCancel | Stage::ReadPast => {
+                let prefix = match call.stage {
+                    Stage::ReadJob => JOB,
+                    Stage::ReadCancel => CANCEL,
+                    _ => PAST,
+                };
+                let key = format!("{prefix}{}", call.job);
+                self.cx.read_key(&key, Pending::User(call));
+            }
+        }
+    }
+
+    pub(crate) fn on_user_reply(&mut self, mut call: UserCall, outcome: Outcome) {
+        let (status, body) = match outcome {
+            Outcome::Answer { status, body } => (status, body),
+            Outcome::Unknown => (0, Vec::new()),
+            Outcome::NotSent => (503, Vec::new()),
+        };
+        match (call.stage, status) {
+            (Stage::Accept, 200) => {
+                let accepted = Accepted {
+                    uid: call.job.clone(),
+                    status: "pending".into(),
+                };
+                self.cx.answer(call.request, 201, &accepted);
+            }
+            (Stage::Accept, 409) => {
+                call.stage = Stage::ReadCancel;
+                self.user_send(call);
+            }
+            (Stage::Accept, 0) => {
+                // The outcome is unknown: read back before anything is said.
+                call.doubtful = true;
+                call.stage = Stage::ReadCancel;
+                self.user_send(call);
+            }
+            (Stage::Cancel, 200) => self.user_cancelled(&call),
+            (Stage::Cancel, 409 | 0) => {
+                call.stage = Stage::ReadCancel;
+                self.user_send(call);
+            }
+            (Stage::ReadJob, 200) => match wire::from_cbor::<Entry<JobRecord>>(&body) {
+                Ok(entry) => {
+                    call.live = Some((entry.value.spec.shards, entry.stamp));
+                    self.user_found_live(call);
+                }
+                Err(e) => {
+                    warn!("record {JOB}{}: {e}", call.job);
+                    self.cx.refuse(call.request, 503, "unreadable record");
+                }
+            },
+            (Stage::ReadJob, 404) => {
+                call.stage = Stage::ReadPast;
+                self.user_send(call);
+            }
+            (Stage::ReadCancel, 200) => self.user_cancelled(&call),
+            (Stage::ReadCancel, 404) => {
+                call.stage = Stage::ReadJob;
+                self.user_send(call);
+            }
+            (Stage::ReadPast, 200) => match wire::from_cbor::<Entry<PastRecord>>(&body) {
+                Ok(entry) => {
+                    self.past.insert(&call.job, entry.value.clone());
+                    self.user_past(call, &entry.value);
+                }
+                Err(e) => {
+                    warn!("record {PAST}{}: {e}", call.job);
+                    self.cx.refuse(call.request, 503, "unreadable record");
+                }
+            },
+            (Stage::ReadPast, 404) => self.user_unknown(call),
+            (_, 429) => self.cx.refuse(call.request, 429, "too many requests"),
+            (stage, status) => {
+                debug!("{}: {stage:?} got {status}", call.job);
+                self.cx
+                    .refuse(call.request, 503, "the state service does not answer");
+            }
+        }
+    }
+
+    fn user_found_live(&mut self, mut call: UserCall) {
+        match call.ask {
+            Ask::Cancel if self.cx.writes.take(self.cx.now.steady, 1.0) => {
+                call.stage = Stage::Cancel;
+                self.user_send(call);
+            }
+            Ask::Cancel => self.cx.refuse(call.request, 429, "too many cancellations"),
+            _ => self.user_live(call),
+        }
+    }
+
+    /// The job is found under neither key.
+    fn user_unknown(&mut self, call: UserCall) {
+        match &call.ask {
+            Ask::Submit(spec) if !call.doubtful => {
+                // Only a submission that could not run is looked up first.
+                let refused = self
+                    .cx
+                    .catalogue
+                    .as_ref()
+                    .map(|c| check_possible(spec, &self.cx.settings, c));
+                match refused {
+                    Some(Err(Refused::Impossible(why))) => {
+                        self.cx.refuse(call.request, 422, &why);
+                    }
+                    _ => self.cx.refuse(call.request, 503, "not accepted yet"),
+                }
+            }
+            Ask::Submit(_) => self.cx.refuse(call.request, 503, "not accepted yet"),
+            _ => self.cx.refuse(call.request, 404, "no such job"),
+        }
+    }
+
+    /// The job is live and not cancelled.
+    fn user_live(&mut self, call: UserCall) {
+        let (done, running) = match &self.lead {
+            Some(lead) => lead.progress_of(&call.job),
+            None => self.progress.get(&call.job).copied(),
+        }
+        .unwrap_or((0, 0));
+        let status = if running > 0 { "running" } else { "pending" };
+        match call.ask {
+            Ask::Submit(_) => {
+                let accepted = Accepted {
+                    uid: call.job,
+                    status: status.into(),
+                };
+                self.cx.answer(call.request, 200, &accepted);
+            }
+            _ => {
+                let answer = JobStatus {
+                    uid: call.job,
+                    status: status.into(),
+                    done,
+                    running,
+                };
+                self.cx.answer(call.request, 200, &answer);
+            }
+        }
+    }
+
+    fn user_cancelled(&mut self, call: &UserCall) {
+        let shards = call.live.map_or(0, |(shards, _)| shards);
+        let past = PastRecord {
+            status: "aborted".into(),
+            shards,
+        };
+        // The cancellation is durable, and the job can only become aborted now.
+        self.past.insert(&call.job, past.clone());
+        if let Some(lead) = &mut self.lead {
+            lead.on_cancelled(&mut self.cx, &call.job);
+        }
+        self.user_past(call.clone(), &past);
+    }
+
+    fn user_past(&mut self, call: UserCall, past: &PastRecord) {
+        self.progress.remove(&call.job);
+        match call.ask {
+            Ask::Poll => {
+                let done = if past.status == "done" {
+                    past.shards
+                } else {
+                    0
+                };
+                let answer = JobStatus {
+                    uid: call.job,
+                    status: past.status.clone(),
+                    done,
+                    running: 0,
+                };
+                self.cx.answer(call.request, 200, &answer);
+            }
+            _ => {
+                let accepted = Accepted {
+                    uid: call.job,
+                    status: past.status.clone(),
+                };
+                self.cx.answer(call.request, 200, &accepted);
+            }
+        }
+    }
+}
+
+pub(crate) fn absent(key: &str) -> When {
+    When {
+        k: key.to_string(),
+        stamp: 0,
+    }
+}
+
+pub(crate) fn put<T: serde::Serialize>(key: String, record: &T) -> Change {
+    Change::Put {
+        put: key,
+        value: wire::http::to_value(record),
+        tether: None,
+    }
+}
+
+impl Ctx {
+    /// Cost of a ledger record in puts and deletes, as an upper bound.
+    pub(crate) fn cost(rec: &Rec) -> usize {
+        match rec {
+            Rec::Over(_) => 4,
+            _ => 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/workers.rs
@@ -0,0 +1,952 @@
+//! Machines as their workers report them, and what is known to be on them.
+
+use crate::jobs::{error_backoff, parse_task, JobIx};
+use crate::leadership::{Held, Lead};
+use crate::ledger::Rec;
+use crate::node::{Ctx, LeadCall, Node};
+use crate::{micros, Micros, Outcome, Target, MILLI, SECOND};
+use grebewood_wire as wire;
+use grebewood_wire::http::{
+    CheckinAnswer, DirectOrders, MachineType, Order, Redirect, Report, ShardReport,
+};
+use grebewood_wire::records::DONE_SPAN;
+use log::{error, info, warn};
+use std::collections::VecDeque;
+
+/// What a worker last said of an assignment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// Nothing yet.
+    Never,
+    Fetching,
+    Running,
+    Saving,
+}
+
+/// Why and how a task is to be stopped.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Stop {
+    pub leeway: Micros,
+    pub since: Micros,
+    /// When the command was last sent directly.
+    pub sent: Option<Micros>,
+}
+
+/// A task given to a machine: from its decision until proof that it is gone.
+#[derive(Clone, Debug)]
+pub struct Assignment {
+    pub job: JobIx,
+    pub job_id: String,
+    pub task: u64,
+    pub attempt: u64,
+    pub tenure: u64,
+    pub page: u64,
+    /// Number of the page's change that holds it; it may be launched once that is durable.
+    pub written: u64,
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory: f64,
+    pub team: String,
+    pub zone: String,
+    /// The (tenure, tally) of the check-in whose answer carried the launch. An assignment read
+    /// back from state counts as launched by an older holder: `(0, 0)`.
+    pub launched: Option<(u64, u64)>,
+    pub seen: Seen,
+    /// When it was decided.
+    pub decided: Micros,
+    /// When it was first seen running.
+    pub started: Option<Micros>,
+    pub expected: Micros,
+    pub stop: Option<Stop>,
+}
+
+impl Assignment {
+    /// Whether the worker may have it.
+    pub fn may_exist(&self) -> bool {
+        self.launched.is_some()
+    }
+
+    /// Time it will still take, by its expected run time and fetch.
+    pub fn remaining(&self, now: Micros, fetch: Micros) -> Micros {
+        match self.started {
+            // A task that overruns is expected to run for a further fifth of what it has run.
+            Some(at) => self
+                .expected
+                .saturating_sub(now.saturating_sub(at))
+                .max(now.saturating_sub(at) / 5),
+            None => self.expected + fetch,
+        }
+    }
+}
+
+/// An exited attempt to be removed from the reports once its outcome is durable.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reap {
+    pub shard: String,
+    pub attempt: u64,
+    /// Records, with their change numbers, that must be durable first.
+    pub after: Vec<(Rec, u64)>,
+    pub job: Option<JobIx>,
+}
+
+/// A machine.
+#[derive(Clone, Debug)]
+pub struct Machine {
+    pub name: String,
+    pub endpoint: String,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory: f64,
+    pub tenure: u64,
+    pub tally: u64,
+    /// Whether it has reported under our token.
+    pub knows_token: bool,
+    pub last_report: Micros,
+    /// When we last answered a check-in of it: its lease ends no later than a lease after that.
+    pub last_answer: Micros,
+    /// When the cloud takes it.
+    pub recall_at: Option<Micros>,
+    pub assignments: Vec<Assignment>,
+    pub reaps: Vec<Reap>,
+    pub idle_since: Micros,
+    /// Images it has, the most recently used last, with their sizes.
+    pub images: VecDeque<(String, f64)>,
+    pub cache_gb: f64,
+    pub fetch_gb_per_s: f64,
+    /// To be returned: nothing is placed on it any more.
+    pub closing: bool,
+    /// Errors in a row without a success, of different jobs.
+    pub errors: Vec<String>,
+    /// Nothing is placed on it before this time, after it refused a task.
+    pub shy_until: Micros,
+    /// Ratio of run times here to what was expected.
+    pub slowness: f64,
+    pub first_seen: Micros,
+}
+
+impl Machine {
+    pub fn new(report: &Report, build: Option<&MachineType>, now: Micros) -> Self {
+        Machine {
+            name: report.perch.clone(),
+            endpoint: report.endpoint.clone(),
+            machine_type: report.build.clone(),
+            zone: report.yard.clone(),
+            spot: report.loaner,
+            cpus: build.map_or(0.0, |b| b.vcpus),
+            gpus: build.map_or(0.0, |b| b.accelerators),
+            memory: build.map_or(0.0, |b| b.memory_gb),
+            tenure: 0,
+            tally: 0,
+            knows_token: false,
+            last_report: now,
+            last_answer: now,
+            recall_at: None,
+            assignments: Vec::new(),
+            reaps: Vec::new(),
+            idle_since: now,
+            images: VecDeque::new(),
+            cache_gb: build.and_then(|b| b.local_gb).unwrap_or(0.0),
+            fetch_gb_per_s: build
+                .and_then(|b| b.fetch_gb_per_s)
+                .filter(|r| *r > 0.0)
+                .unwrap_or(1.0),
+            closing: false,
+            errors: Vec::new(),
+            shy_until: 0,
+            slowness: 1.0,
+            first_seen: now,
+        }
+    }
+
+    /// Free CPUs, accelerators and memory. Everything counts from assignment to proof.
+    pub fn free(&self) -> (f64, f64, f64) {
+        self.assignments
+            .iter()
+            .fold((self.cpus, self.gpus, self.memory), |(c, g, m), a| {
+                (c - a.cpus, g - a.gpus, m - a.memory)
+            })
+    }
+
+    pub fn has_image(&self, image: &str) -> bool {
+        self.images.iter().any(|(i, _)| i == image)
+    }
+
+    /// Notes that the image was used.
+    pub fn use_image(&mut self, image: &str, gb: f64) {
+        self.images.retain(|(i, _)| i != image);
+        self.images.push_back((image.to_string(), gb));
+        let mut total: f64 = self.images.iter().map(|(_, gb)| gb).sum();
+        while total > self.cache_gb && self.images.len() > 1 {
+            if let Some((_, gb)) = self.images.pop_front() {
+                total -= gb;
+            }
+        }
+    }
+
+    /// Expected time to fetch the image, 0 if it is here.
+    pub fn fetch_time(&self, image: &str, gb: f64) -> Micros {
+        if self.has_image(image) {
+            0
+        } else {
+            (gb / self.fetch_gb_per_s * SECOND as f64) as Micros
+        }
+    }
+
+    /// Whether new tasks may be placed here.
+    pub fn usable(&self, now: Micros, silence: Micros) -> bool {
+        !self.closing
+            && self.recall_at.is_none()
+            && self.tenure > 0
+            && self.shy_until <= now
+            && now.saturating_sub(self.last_report) <= silence
+    }
+}
+
+/// How long a check-in may wait for a flush before it is answered with what there is.
+const HOLD: Micros = 500 * MILLI;
+/// Between two direct commands to one machine.
+const DIRECT_INTERVAL: Micros = 2 * SECOND;
+/// Most commands in one answer, so that it stays below the size limit.
+const MOST_ORDERS: usize = 300;
+
+/// How a report came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    /// A check-in: a worker has only one in flight, and carries out no answer to an earlier one.
+    Checkin,
+    /// The answer to a direct command, which may overtake the answer to a check-in.
+    Direct,
+}
+
+impl Node {
+    pub(crate) fn on_checkin(&mut self, id: u64, body: &[u8]) {
+        let report: Report = match wire::from_cbor(body) {
+            Ok(r) => r,
+            Err(e) => return self.cx.refuse(id, 400, &e.to_string()),
+        };
+        let bad = |s: &str| s.is_empty() || s.len() > 150;
+        if bad(&report.perch) || bad(&report.yard) || bad(&report.build) || report.tenure == 0 {
+            return self
+                .cx
+                .refuse(id, 400, "perch, yard, build or tenure is invalid");
+        }
+        self.cx.token = self.cx.token.max(report.warrant);
+        let me = self.cx.settings.member.clone();
+        match &mut self.lead {
+            Some(lead) if report.warrant <= lead.token => lead.on_checkin(&mut self.cx, id, report),
+            // Somebody with a higher token acts for the controllers: not us, and it is not known
+            // here who.
+            Some(_) => self.cx.answer(id, 421, &Redirect { steward: None }),
+            None => {
+                let steward = self
+                    .election
+                    .leader()
+                    .filter(|l| *l != me)
+                    .map(str::to_string);
+                self.cx.answer(id, 421, &Redirect { steward });
+            }
+        }
+    }
+}
+
+impl Lead {
+    /// A machine known only from assignments on record.
+    pub(crate) fn recovered_machine(
+        &mut self,
+        cx: &Ctx,
+        name: &str,
+        zone: &str,
+        tenure: u64,
+    ) -> &mut Machine {
+        let machine = self.machines.entry(name.to_string()).or_insert_with(|| {
+            let report = Report {
+                perch: name.to_string(),
+                endpoint: String::new(),
+                build: String::new(),
+                yard: zone.to_string(),
+                loaner: true,
+                tenure,
+                tally: 0,
+                warrant: 0,
+                recall_s: None,
+                shards: Vec::new(),
+            };
+            Machine::new(&report, None, cx.now.steady)
+        });
+        // Reports of earlier sessions are older than what is on record.
+        machine.tenure = machine.tenure.max(tenure);
+        machine
+    }
+
+    fn on_checkin(&mut self, cx: &mut Ctx, request: u64, report: Report) {
+        let now = cx.now.steady;
+        self.heard_at = now;
+        if !self.loaded() {
+            // Renews the lease and announces the token while state is still being read.
+            return self.answer_checkin(cx, request, Vec::new());
+        }
+        if self.fleet.is_gone(&report.perch) {
+            // The machine was deleted: a late copy of a report.
+            return cx.answer(request, 421, &Redirect { steward: None });
+        }
+        let (machine, tenure, tally) = (report.perch.clone(), report.tenure, report.tally);
+        // A worker reports one at a time: the one before was given up.
+        if let Some(at) = self.held.iter().position(|h| h.machine == machine) {
+            let held = self.held.remove(at);
+            cx.refuse(held.request, 503, "overtaken by a later report");
+        }
+        let fresh = self.on_report(cx, report, Source::Checkin);
+        if let Some(m) = self.machines.get_mut(&machine) {
+            m.last_answer = now;
+        }
+        if !fresh {
+            return self.answer_checkin(cx, request, Vec::new());
+        }
+        self.held.push(Held {
+            request,
+            machine,
+            tenure,
+            tally,
+            until: now + HOLD,
+        });
+        self.placement.next_at = self.placement.next_at.min(now);
+    }
+
+    fn answer_checkin(&self, cx: &mut Ctx, request: u64, orders: Vec<Order>) {
+        let answer = CheckinAnswer {
+            warrant: self.token,
+            orders,
+        };
+        cx.answer(request, 200, &answer);
+    }
+
+    /// Takes in a report. Returns false if a newer one is known already.
+    fn on_report(&mut self, cx: &mut Ctx, report: Report, source: Source) -> bool {
+        let now = cx.now.steady;
+        let name = report.perch.clone();
+        if !self.machines.contains_key(&name) {
+            let machine = Machine::new(&report, cx.machine_type(&report.build), now);
+            self.machines.insert(name.clone(), machine);
+        }
+        self.machine_is_up(cx, &report);
+        let Some(m) = self.machines.get_mut(&name) else {
+            return false;
+        };
+        if (report.tenure, report.tally) <= (m.tenure, m.tally) {
+            return false;
+        }
+        if m.endpoint.is_empty() {
+            // Known from state only until now.
+            let known = Machine::new(&report, cx.machine_type(&report.build), now);
+            *m = Machine {
+                assignments: std::mem::take(&mut m.assignments),
+                tenure: m.tenure,
+                tally: m.tally,
+                ..known
+            };
+        }
+        m.endpoint = report.endpoint.clone();
+        m.last_report = now;
+        m.recall_at = report.recall_s.map(|s| now + micros(s));
+        let new_tenure = report.tenure > m.tenure;
+        m.tenure = report.tenure;
+        m.tally = report.tally;
+        if report.warrant == self.token {
+            m.knows_token = true;
+        }
+        if new_tenure {
+            m.reaps.clear();
+            // A new session: the worker has killed and forgotten every task of the earlier ones.
+            while let Some(at) = self.position(&name, |a| a.tenure < report.tenure) {
+                self.free(cx, &name, at);
+            }
+        }
+        if report.warrant == self.token {
+            self.take_tasks(cx, &report, source);
+        }
+        if report.recall_s.is_some() {
+            self.drain_recalled(cx, &name);
+        }
+        if let Some(m) = self.machines.get_mut(&name) {
+            if !m.assignments.is_empty() {
+                m.idle_since = now;
+            }
+        }
+        true
+    }
+
+    fn position(&self, machine: &str, test: impl Fn(&Assignment) -> bool) -> Option<usize> {
+        self.machines
+            .get(machine)?
+            .assignments
+            .iter()
+            .position(test)
+    }
+
+    /// Compares a report, which has seen our token, with what should be on the machine.
+    fn take_tasks(&mut self, cx: &mut Ctx, report: &Report, source: Source) {
+        let now = cx.now.steady;
+        let name = &report.perch;
+        for s in &report.shards {
+            let Some((job_id, task)) = parse_task(&s.shard) else {
+                warn!("{name}: task {:?} is not of the form job/number", s.shard);
+                continue;
+            };
+            let at = self.position(name, |a| {
+                a.attempt == s.attempt && a.task == task && a.job_id == job_id
+            });
+            let exited = s.status == "exited";
+            match at {
+                Some(at) if exited => {
+                    self.exited(cx, name, at, s.cause.as_deref().unwrap_or(""), &s.shard)
+                }
+                Some(at) => {
+                    let Some(m) = self.machines.get_mut(name) else {
+                        return;
+                    };
+                    let a = &mut m.assignments[at];
+                    a.seen = match s.status.as_str() {
+                        "running" => Seen::Running,
+                        "saving" => Seen::Saving,
+                        _ => Seen::Fetching,
+                    };
+                    if a.seen == Seen::Running && a.started.is_none() {
+                        a.started = Some(now);
+                    }
+                }
+                None if exited => self.exited_unknown(cx, name, job_id, task, s),
+                None => self.foreign(cx, report, job_id, task, s),
+            }
+        }
+        let listed = |shard: &str, attempt: u64| {
+            report
+                .shards
+                .iter()
+                .any(|s| s.attempt == attempt && s.shard == shard)
+        };
+        if let Some(m) = self.machines.get_mut(name) {
+            m.reaps.retain(|r| listed(&r.shard, r.attempt));
+        }
+        if source == Source::Direct {
+            // The answer to a check-in may still bring a launch: absence proves nothing here.
+            return;
+        }
+        let newest = (report.tenure, report.tally);
+        let mut at = 0;
+        while let Some(a) = self
+            .machines
+            .get_mut(name)
+            .and_then(|m| m.assignments.get_mut(at))
+        {
+            let absent = a.launched.is_some_and(|l| l < newest)
+                && !listed(&format!("{}/{}", a.job_id, a.task), a.attempt);
+            if !absent {
+                at += 1;
+            } else if a.seen == Seen::Never && a.stop.is_none() && a.launched != Some((0, 0)) {
+                // The answer with the launch was lost and is never carried out late: send it
+                // again, under the same attempt.
+                a.launched = None;
+                at += 1;
+            } else {
+                // A later report that has seen our token, without the task: it is gone.
+                self.free(cx, name, at);
+            }
+        }
+    }
+
+    /// An assignment's task has exited.
+    fn exited(&mut self, cx: &mut Ctx, name: &str, at: usize, cause: &str, shard: &str) {
+        let now = cx.now.steady;
+        let Some(m) = self.machines.get_mut(name) else {
+            return;
+        };
+        let a = m.assignments[at].clone();
+        let mut after = Vec::new();
+        let job = self.jobs.get_mut(a.job);
+        match (cause, job) {
+            ("done", Some(job)) => {
+                m.errors.clear();
+                job.errors = 0;
+                if let Some(started) = a.started {
+                    let run = now.saturating_sub(started);
+                    self.stats.ran(&job.spec, &m.machine_type, run);
+                    let (mean, n) = job.run_mean;
+                    job.run_mean = ((mean * n as u64 + run) / (n as u64 + 1), (n + 1).min(1_000));
+                }
+                if job.complete(a.task) {
+                    let rec = Rec::Done(a.job, a.task / DONE_SPAN);
+                    let version = self.ledger.touch(rec.clone(), now);
+                    after.push((rec, version));
+                }
+            }
+            ("error", Some(job)) => {
+                job.errors += 1;
+                job.retry_at = now + error_backoff(job.errors);
+                if !m.errors.contains(&job.id) {
+                    m.errors.push(job.id.clone());
+                }
+                // Tasks of different jobs fail here, and none has succeeded in between.
+                if m.errors.len() >= 2 && !m.closing {
+                    warn!("{name}: faulty, to be returned");
+                    m.closing = true;
+                }
+                info!("{shard}: error on {name}");
+            }
+            ("unknown", Some(job)) => {
+                job.errors += 1;
+                job.retry_at = now + error_backoff(job.errors.max(3));
+            }
+            ("no_room" | "busy", _) => {
+                warn!("{shard}: {name} refused it: {cause}");
+                m.shy_until = now + 3 * SECOND;
+            }
+            _ => {}
+        }
+        let page = Rec::Page(a.page);
+        self.free(cx, name, at);
+        // The outcome is written before the worker may forget it.
+        after.push((page.clone(), self.ledger.version(&page)));
+        if let Some(m) = self.machines.get_mut(name) {
+            m.reaps.push(Reap {
+                shard: shard.to_string(),
+                attempt: a.attempt,
+                after,
+                job: Some(a.job),
+            });
+        }
+        self.end_if_over(cx, a.job);
+    }
+
+    /// A worker reports an exit of an attempt that is on no page of ours, such as one whose
+    /// removal was written before an earlier leader could have it reaped.
+    fn exited_unknown(
+        &mut self,
+        cx: &mut Ctx,
+        name: &str,
+        job_id: &str,
+        task: u64,
+        s: &ShardReport,
+    ) {
+        let known = self.machines.get(name).is_some_and(|m| {
+            m.reaps
+                .iter()
+                .any(|r| r.shard == s.shard && r.attempt == s.attempt)
+        });
+        if known {
+            return;
+        }
+        let ix = self.jobs.find(job_id);
+        let mut after = Vec::new();
+        if let (Some("done"), Some(ix)) = (s.cause.as_deref(), ix) {
+            if self.jobs.get_mut(ix).is_some_and(|j| j.complete(task)) {
+                let rec = Rec::Done(ix, task / DONE_SPAN);
+                after.push((rec.clone(), self.ledger.touch(rec, cx.now.steady)));
+            }
+            self.end_if_over(cx, ix);
+        }
+        if let Some(m) = self.machines.get_mut(name) {
+            m.reaps.push(Reap {
+                shard: s.shard.clone(),
+                attempt: s.attempt,
+                after,
+                job: ix,
+            });
+        }
+    }
+
+    /// A worker has a task that is on no page of ours. It is stopped, and counts as taken until
+    /// it is proven gone.
+    fn foreign(&mut self, cx: &mut Ctx, report: &Report, job_id: &str, task: u64, s: &ShardReport) {
+        let now = cx.now.steady;
+        error!("{}: has {}, which is not on record", report.perch, s.shard);
+        let ix = self.jobs.find(job_id);
+        if let Some(job) = ix.and_then(|ix| self.jobs.get_mut(ix)) {
+            job.take(task);
+            *job.zones.entry(report.yard.clone()).or_insert(0) += 1;
+        }
+        let spec = ix.and_then(|ix| self.jobs.get(ix)).map(|j| j.spec.clone());
+        let page = self.page_with_room(1);
+        let assignment = Assignment {
+            job: ix.unwrap_or(JobIx::MAX),
+            job_id: job_id.to_string(),
+            task,
+            attempt: s.attempt,
+            tenure: report.tenure,
+            page,
+            written: 0,
+            cpus: spec.as_ref().map_or(0.0, |s| s.vcpus),
+            gpus: spec.as_ref().map_or(0.0, |s| s.accelerators),
+            memory: spec.as_ref().map_or(0.0, |s| s.memory_gb),
+            team: spec.as_ref().map_or(String::new(), |s| s.owner.clone()),
+            zone: report.yard.clone(),
+            launched: Some((report.tenure, report.tally)),
+            seen: Seen::Running,
+            decided: now,
+            started: Some(now),
+            expected: SECOND,
+            stop: Some(Stop {
+                leeway: 0,
+                since: now,
+                sent: None,
+            }),
+        };
+        self.page_mut(page).add(&report.perch, &assignment);
+        self.ledger.touch(Rec::Page(page), now);
+        if let Some(m) = self.machines.get_mut(&report.perch) {
+            m.assignments.push(assignment);
+        }
+        self.send_direct(cx, &report.perch);
+    }
+
+    /// Removes an assignment of which it is proven that its task is not on the machine and will
+    /// not come there.
+    pub(crate) fn free(&mut self, cx: &mut Ctx, name: &str, at: usize) {
+        let now = cx.now.steady;
+        let Some(m) = self.machines.get_mut(name) else {
+            return;
+        };
+        let a = m.assignments.remove(at);
+        m.idle_since = now;
+        self.page_mut(a.page).remove(name, &a);
+        self.ledger.touch(Rec::Page(a.page), now);
+        if let Some(job) = self.jobs.get_mut(a.job) {
+            job.give_back(a.task);
+            if let Some(n) = job.zones.get_mut(&a.zone) {
+                *n = n.saturating_sub(1);
+            }
+            if job.waiting() > 0 && job.waiting_since.is_none() {
+                job.waiting_since = Some(now);
+            }
+        }
+        self.placement.wanted = true;
+        self.end_if_over(cx, a.job);
+    }
+
+    /// Stops whatever may run of a job.
+    pub(crate) fn stop_job(&mut self, cx: &mut Ctx, ix: JobIx) {
+        let names: Vec<String> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.assignments.iter().any(|a| a.job == ix))
+            .map(|(n, _)| n.clone())
+            .collect();
+        for name in names {
+            self.stop_on(cx, &name, 0, |a| a.job == ix);
+        }
+    }
+
+    /// Stops the assignments of a machine that pass the test. Those never launched are freed at
+    /// once.
+    pub(crate) fn stop_on(
+        &mut self,
+        cx: &mut Ctx,
+        name: &str,
+        leeway: Micros,
+        test: impl Fn(&Assignment) -> bool,
+    ) {
+        let now = cx.now.steady;
+        while let Some(at) = self.position(name, |a| test(a) && !a.may_exist()) {
+            self.free(cx, name, at);
+        }
+        let mut any = false;
+        if let Some(m) = self.machines.get_mut(name) {
+            for a in m.assignments.iter_mut().filter(|a| test(a)) {
+                // A stop without leeway ends a task that is saving.
+                if a.stop.is_none_or(|s| leeway == 0 && s.leeway > 0) {
+                    a.stop = Some(Stop {
+                        leeway,
+                        since: now,
+                        sent: None,
+                    });
+                    any = true;
+                }
+            }
+        }
+        if any {
+            self.send_direct(cx, name);
+        }
+    }
+
+    /// Sends the stops of a machine straight to it.
+    fn send_direct(&mut self, cx: &mut Ctx, name: &str) {
+        let now = cx.now.steady;
+        if self.direct.contains_key(name) {
+            return;
+        }
+        let Some(m) = self.machines.get_mut(name) else {
+            return;
+        };
+        if m.endpoint.is_empty() {
+            return;
+        }
+        let mut orders = Vec::new();
+        for a in m.assignments.iter_mut().filter(|a| a.launched.is_some()) {
+            if let Some(stop) = &mut a.stop {
+                if orders.len() < MOST_ORDERS
+                    && stop.sent.is_none_or(|at| now >= at + DIRECT_INTERVAL)
+                {
+                    stop.sent = Some(now);
+                    orders.push(stop_order(&a.job_id, a.task, a.attempt, stop.leeway));
+                }
+            }
+        }
+        if orders.is_empty() {
+            return;
+        }
+        let body = DirectOrders {
+            warrant: self.token,
+            tenure: m.tenure,
+            orders,
+        };
+        let endpoint = m.endpoint.clone();
+        self.direct.insert(name.to_string(), now);
+        let pending = self.pending(LeadCall::Direct {
+            machine: name.to_string(),
+        });
+        cx.call(
+            Target::Worker(endpoint),
+            "POST",
+            "/do".into(),
+            wire::to_cbor(&body),
+            2 * SECOND,
+            pending,
+        );
+    }
+
+    pub(crate) fn on_direct(&mut self, cx: &mut Ctx, name: &str, outcome: Outcome) {
+        self.direct.remove(name);
+        let Outcome::Answer { status, body } = outcome else {
+            return;
+        };
+        if status != 200 && status != 409 {
+            return warn!("{name}: direct command got {status}");
+        }
+        match wire::from_cbor::<Report>(&body) {
+            Ok(report) if report.perch == name && self.machines.contains_key(name) => {
+                self.on_report(cx, report, Source::Direct);
+            }
+            Ok(_) => warn!("{name}: another worker answers at its address"),
+            Err(e) => warn!("{name}: {e}"),
+        }
+    }
+
+    /// Stops what cannot finish before the cloud takes the machine.
+    fn drain_recalled(&mut self, cx: &mut Ctx, name: &str) {
+        let now = cx.now.steady;
+        let Some(m) = self.machines.get(name) else {
+            return;
+        };
+        let Some(left) = m.recall_at.map(|at| at.saturating_sub(now)) else {
+            return;
+        };
+        let mut stops: Vec<(u64, Micros)> = Vec::new();
+        for a in m.assignments.iter().filter(|a| a.stop.is_none()) {
+            let Some(job) = self.jobs.get(a.job) else {
+                continue;
+            };
+            let fetch = m.fetch_time(&job.spec.bundle, job.spec.pull_gb);
+            if a.remaining(now, fetch) + SECOND < left {
+                continue;
+            }
+            let flush = micros(job.spec.flush_s);
+            if job.spec.savepoint_s > 0.0 {
+                if left < flush + 5 * SECOND {
+                    stops.push((a.attempt, leeway(flush)));
+                }
+            } else {
+                stops.push((a.attempt, 0));
+            }
+        }
+        for (attempt, leeway) in stops {
+            self.stop_on(cx, name, leeway, |a| a.attempt == attempt);
+        }
+    }
+
+    /// Answers the check-ins that wait for nothing any more, or have waited long enough.
+    pub(crate) fn run_held(&mut self, cx: &mut Ctx) {
+        let now = cx.now.steady;
+        let cut_off = !cx.in_contact(2 * SECOND);
+        let held = std::mem::take(&mut self.held);
+        for h in held {
+            let waits = now < h.until && !cut_off && self.waits_for_flush(&h.machine);
+            if waits {
+                self.held.push(h);
+            } else {
+                let orders = self.orders(cx, &h);
+                self.answer_checkin(cx, h.request, orders);
+            }
+        }
+    }
+
+    fn is_durable(&self, after: &[(Rec, u64)], job: Option<JobIx>) -> bool {
+        // Once a job is over, its terminal record stands for all of its tasks.
+        let over = job.is_some_and(|ix| self.jobs.get(ix).is_none());
+        after.iter().all(|(rec, version)| {
+            (over && matches!(rec, Rec::Done(..))) || self.ledger.is_durable(rec, *version)
+        })
+    }
+
+    fn waits_for_flush(&self, name: &str) -> bool {
+        self.machines.get(name).is_some_and(|m| {
+            m.reaps.iter().any(|r| !self.is_durable(&r.after, r.job))
+                || m.assignments.iter().any(|a| {
+                    a.launched.is_none() && !self.ledger.is_durable(&Rec::Page(a.page), a.written)
+                })
+        })
+    }
+
+    /// The commands for the answer to a check-in. Launches go only here: such an answer is never
+    /// carried out late. Each launched task is on record, each reaped outcome too.
+    fn orders(&mut self, cx: &Ctx, held: &Held) -> Vec<Order> {
+        let now = cx.now.steady;
+        let mut orders = Vec::new();
+        let Some(m) = self.machines.get(&held.machine) else {
+            return orders;
+        };
+        if m.tenure != held.tenure {
+            return orders;
+        }
+        for r in &m.reaps {
+            if orders.len() < MOST_ORDERS && self.is_durable(&r.after, r.job) {
+                orders.push(Order {
+                    verb: "reap".into(),
+                    shard: r.shard.clone(),
+                    attempt: r.attempt,
+                    leeway_s: None,
+                });
+            }
+        }
+        let (ledger, jobs) = (&self.ledger, &self.jobs);
+        let Some(m) = self.machines.get_mut(&held.machine) else {
+            return orders;
+        };
+        let recalled = m.recall_at.is_some();
+        for a in &mut m.assignments {
+            if orders.len() >= MOST_ORDERS {
+                break;
+            }
+            if let Some(stop) = &mut a.stop {
+                if a.launched.is_some() {
+                    stop.sent = Some(now);
+                    orders.push(stop_order(&a.job_id, a.task, a.attempt, stop.leeway));
+                }
+                continue;
+            }
+            let alive = jobs
+                .get(a.job)
+                .is_some_and(|j| j.cancelled.is_none() && !j.is_done(a.task));
+            let written = ledger.is_durable(&Rec::Page(a.page), a.written);
+            if a.launched.is_none() && written && alive && !recalled && a.tenure == held.tenure {
+                a.launched = Some((held.tenure, held.tally));
+                orders.push(Order {
+                    verb: "launch".into(),
+                    shard: format!("{}/{}", a.job_id, a.task),
+                    attempt: a.attempt,
+                    leeway_s: None,
+                });
+            }
+        }
+        orders
+    }
+
+    /// Whether no worker reaches this node though there should be some: then another node had
+    /// better lead.
+    pub(crate) fn cut_from_workers(&self, cx: &Ctx) -> bool {
+        let now = cx.now.steady;
+        let silence = (cx.settings.report * 3).max(4 * SECOND);
+        self.loaded()
+            && !cx.settings.siblings.is_empty()
+            && now.saturating_sub(self.heard_at.max(self.loaded_at)) > silence + 2 * SECOND
+            && self
+                .machines
+                .values()
+                .any(|m| now.saturating_sub(m.last_report) < silence * 4)
+    }
+
+    /// Looks after silent machines, stops that were not carried out, and recalls.
+    pub(crate) fn run_machines(&mut self, cx: &mut Ctx) {
+        let now = cx.now.steady;
+        if now < self.next_machine_check {
+            return;
+        }
+        self.next_machine_check = now + SECOND;
+        let s = &cx.settings;
+        let (lease, cancel) = (s.lease, s.cancel);
+        // With drift, and a little for the answer's own time.
+        let lapse = lease + lease / 500 + 1_500 * MILLI;
+        // Silence of all machines is our own cut, not theirs.
+        let hearing = now.saturating_sub(self.heard_at) < 3 * s.report;
+        let names: Vec<String> = self.machines.keys().cloned().collect();
+        for name in names {
+            let Some(m) = self.machines.get_mut(&name) else {
+                continue;
+            };
+            let silent = now.saturating_sub(m.last_report);
+            if m.knows_token
+                && now.saturating_sub(m.last_answer) > lapse
+                && m.assignments.iter().any(|a| a.tenure <= m.tenure)
+            {
+                // The worker has seen our token, so only our answers renew its lease, and the
+                // last one is too old: it has killed every task and is in a new session.
+                info!("{name}: lease has run out");
+                m.tenure += 1;
+                m.tally = 0;
+                m.reaps.clear();
+                while !self
+                    .machines
+                    .get(&name)
+                    .is_none_or(|m| m.assignments.is_empty())
+                {
+                    self.free(cx, &name, 0);
+                }
+            }
+            let Some(m) = self.machines.get(&name) else {
+                continue;
+            };
+            let overdue_cancel = m.assignments.iter().any(|a| {
+                let cancelled = self.jobs.get(a.job).and_then(|j| j.cancelled);
+                cancelled.is_some_and(|at| now.saturating_sub(at) > cancel / 2)
+            });
+            if overdue_cancel || (hearing && silent > lapse + 12 * SECOND) {
+                if self.fleet.release(&name, now) {
+                    info!("{name}: released, silent for {} s", silent / SECOND);
+                }
+                if let Some(m) = self.machines.get_mut(&name) {
+                    m.closing = true;
+                }
+            }
+            let Some(m) = self.machines.get(&name) else {
+                continue;
+            };
+            // What belongs to no live task: a second assignment of a task that is done.
+            let useless: Vec<u64> = m
+                .assignments
+                .iter()
+                .filter(|a| self.jobs.get(a.job).is_none_or(|j| j.is_done(a.task)))
+                .map(|a| a.attempt)
+                .collect();
+            if !useless.is_empty() {
+                self.stop_on(cx, &name, 0, |a| useless.contains(&a.attempt));
+            }
+            self.drain_recalled(cx, &name);
+            self.send_direct(cx, &name);
+        }
+    }
+}
+
+/// Leeway for a task that needs `flush` to save.
+pub(crate) fn leeway(flush: Micros) -> Micros {
+    flush + flush / 2 + SECOND
+}
+
+fn stop_order(job: &str, task: u64, attempt: u64, leeway: Micros) -> Order {
+    Order {
+        verb: "stop".into(),
+        shard: format!("{job}/{task}"),
+        attempt,
+        leeway_s: Some(leeway as f64 / SECOND as f64),
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,124 @@
+//! Wire formats of grebewood.
+//!
+//! The bodies that users, workers, the cloud and the state service exchange with a controller
+//! are CBOR maps ([`http`]); controllers talk to each other in MessagePack ([`peer`]); what a
+//! controller keeps in the state service is in [`records`]. Field names that the protocol page
+//! renames (`warrant` for a fencing token, `tether` for a lease, ...) stay inside this package.
+
+pub mod http;
+pub mod peer;
+pub mod records;
+
+pub use ciborium::Value;
+use serde::{de::DeserializeOwned, Serialize};
+
+/// Largest request body, and largest response to workers and users, in bytes.
+pub const BODY_LIMIT: usize = 64 * 1024;
+
+/// Why a body could not be read.
+#[derive(Debug)]
+pub struct DecodeError(pub String);
+
+impl std::fmt::Display for DecodeError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for DecodeError {}
+
+/// Reads one CBOR value that fills `bytes` entirely.
+pub fn from_cbor<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, DecodeError> {
+    let mut rest = bytes;
+    let value = ciborium::de::from_reader_with_recursion_limit(&mut rest, 24)
+        .map_err(|e| DecodeError(format!("not the expected CBOR: {e}")))?;
+    if rest.is_empty() {
+        Ok(value)
+    } else {
+        Err(DecodeError("bytes after the CBOR value".into()))
+    }
+}
+
+/// Writes a value as CBOR.
+pub fn to_cbor<T: Serialize>(value: &T) -> Vec<u8> {
+    let mut out = Vec::new();
+    // Writing to memory fails only for types without a CBOR form, and this package has none.
+    if ciborium::into_writer(value, &mut out).is_err() {
+        out.clear();
+    }
+    out
+}
+
+/// Reads a message of another controller.
+pub fn from_peer<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, DecodeError> {
+    rmp_serde::from_slice(bytes).map_err(|e| DecodeError(format!("not a peer message: {e}")))
+}
+
+/// Writes a message to another controller.
+pub fn to_peer<T: Serialize>(value: &T) -> Vec<u8> {
+    rmp_serde::to_vec_named(value).unwrap_or_default()
+}
+
+/// Amounts may arrive as CBOR floats or integers; both are read, non-finite ones are refused.
+pub mod amount {
+    use serde::{de, Deserializer};
+    use std::fmt;
+
+    struct Amount;
+
+    impl de::Visitor<'_> for Amount {
+        type Value = f64;
+
+        fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+            f.write_str("a finite number")
+        }
+
+        fn visit_f64<E: de::Error>(self, v: f64) -> Result<f64, E> {
+            if v.is_finite() {
+                Ok(v)
+            } else {
+                Err(E::custom("a number is not finite"))
+            }
+        }
+
+        fn visit_u64<E: de::Error>(self, v: u64) -> Result<f64, E> {
+            Ok(v as f64)
+        }
+
+        fn visit_i64<E: de::Error>(self, v: i64) -> Result<f64, E> {
+            Ok(v as f64)
+        }
+    }
+
+    /// For `#[serde(deserialize_with)]` on a required amount.
+    pub fn required<'de, D: Deserializer<'de>>(d: D) -> Result<f64, D::Error> {
+        d.deserialize_any(Amount)
+    }
+
+    struct Maybe;
+
+    impl<'de> de::Visitor<'de> for Maybe {
+        type Value = Option<f64>;
+
+        fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+            f.write_str("a finite number or null")
+        }
+
+        fn visit_none<E: de::Error>(self) -> Result<Option<f64>, E> {
+            Ok(None)
+        }
+
+        fn visit_unit<E: de::Error>(self) -> Result<Option<f64>, E> {
+            Ok(None)
+        }
+
+        fn visit_some<D: Deserializer<'de>>(self, d: D) -> Result<Option<f64>, D::Error> {
+            d.deserialize_any(Amount).map(Some)
+        }
+    }
+
+    /// For `#[serde(default, deserialize_with)]` on an amount that may be null or omitted.
+    pub fn optional<'de, D: Deserializer<'de>>(d: D) -> Result<Option<f64>, D::Error> {
+        d.deserialize_option(Maybe)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/records.rs
@@ -0,0 +1,103 @@
+//! What controllers keep in the state service.
+//!
+//! | key | written by | content |
+//! | --- | --- | --- |
+//! | `leader` | a candidate, under a lease | [`LeaderRecord`]; its stamp is the fencing token |
+//! | `job/<id>` | the node that accepts, once | [`JobRecord`] of a job that is not over |
+//! | `cancel/<id>` | the node that cancels, once | [`CancelRecord`] |
+//! | `past/<id>` | the leader, once | [`PastRecord`] of a job that is over; kept forever |
+//! | `done/<id>/<n>` | the leader | [`DoneRecord`]: completed tasks |
+//! | `page/<block>/<n>` | the block's holder | [`PageRecord`]: assignments |
+//! | `hire/<name>` | the leader | [`HireRecord`]: a rental, before it is requested |
+//! | `stats` | the leader | [`StatsRecord`]: learnt averages |
+//! | `catalogue` | the leader | the machine types last seen |
+
+use crate::http::Submission;
+use serde::{Deserialize, Serialize};
+
+pub const LEADER: &str = "leader";
+pub const JOB: &str = "job/";
+pub const CANCEL: &str = "cancel/";
+pub const PAST: &str = "past/";
+pub const DONE: &str = "done/";
+pub const PAGE: &str = "page/";
+pub const HIRE: &str = "hire/";
+pub const STATS: &str = "stats";
+pub const CATALOGUE: &str = "catalogue";
+
+/// Tasks in one [`DoneRecord`].
+pub const DONE_SPAN: u64 = 2048;
+
+/// Who leads. The stamp of this record is the leader's fencing token.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    pub member: String,
+    /// Distinguishes this process from an earlier one of the same member.
+    pub incarnation: u64,
+}
+
+/// An accepted job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    pub spec: Submission,
+    /// Time of day of acceptance, in microseconds.
+    pub accepted_us: u64,
+}
+
+/// A cancellation that a user asked for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CancelRecord {
+    pub cancelled_us: u64,
+}
+
+/// A job that is over.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PastRecord {
+    /// `done` or `aborted`.
+    pub status: String,
+    pub shards: u64,
+}
+
+/// Completed tasks from `n * DONE_SPAN` on, as hexadecimal digits of four tasks each.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DoneRecord {
+    pub bits: String,
+}
+
+/// Assignments, grouped by machine.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PageRecord {
+    pub machines: Vec<MachineAssignments>,
+}
+
+/// The assignments of one machine on one page: `(job, task, attempt)` each.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineAssignments {
+    pub m: String,
+    pub tenure: u64,
+    pub zone: String,
+    pub t: Vec<(String, u64, u64)>,
+}
+
+/// A rental request, written before it is sent.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HireRecord {
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub number: u64,
+    pub requested_us: u64,
+    /// The machines it brought, once answered.
+    pub machines: Option<Vec<String>>,
+}
+
+/// Learnt averages, for the next leader.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct StatsRecord {
+    /// `(class, machine type, mean run time in microseconds, weight)`.
+    pub runs: Vec<(String, String, u64, f64)>,
+    /// `(machine type, mean boot time in microseconds, weight)`.
+    pub boots: Vec<(String, u64, f64)>,
+    /// `(class, mean ratio of run time to the owner's estimate, weight)`.
+    pub ratios: Vec<(String, f64, f64)>,
+}
