--- /dev/null
+++ b/crates/core/src/done.rs
@@ -0,0 +1,103 @@
+//! Pages of completed tasks.
+//!
+//! Tasks of many jobs end every second, while the state service takes some ten changes. So the
+//! completed tasks of many jobs share a record, which is written every few seconds: until then the
+//! workers keep the results, since an exited task is reaped only when its end is durable.
+
+use crate::jobs::{Job, JobIx, Jobs};
+use grebewood_wire::records::{DonePageRecord, DONE_SPAN};
+use std::collections::BTreeSet;
+
+/// A page: which spans of which jobs are on it, and how large it may become.
+#[derive(Clone, Debug, Default)]
+struct DonePage {
+    spans: BTreeSet<(JobIx, u64)>,
+    bytes: usize,
+}
+
+/// All pages.
+#[derive(Clone, Debug)]
+pub struct DonePages {
+    pages: Vec<DonePage>,
+    page_bytes: usize,
+}
+
+/// What a span takes in the record's JSON form, once all of its tasks are done.
+fn size(job: &Job, n: u64) -> usize {
+    let tasks = job.tasks().saturating_sub(n * DONE_SPAN).min(DONE_SPAN);
+    job.id.len() + tasks.div_ceil(4) as usize + 24
+}
+
+impl DonePages {
+    pub fn new(page_bytes: usize) -> Self {
+        DonePages {
+            pages: Vec::new(),
+            page_bytes,
+        }
+    }
+
+    fn page_mut(&mut self, page: u64) -> &mut DonePage {
+        // Page numbers come from our own keys and are dense; a wild one would only cost room.
+        let page = page.min(10_000) as usize;
+        if self.pages.len() <= page {
+            self.pages.resize(page + 1, DonePage::default());
+        }
+        &mut self.pages[page]
+    }
+
+    /// The page that holds the span of the job; one with room is chosen the first time.
+    pub fn page_of(&mut self, ix: JobIx, n: u64, job: &mut Job) -> u64 {
+        if let Some(page) = job.done_pages.get(&n) {
+            return *page;
+        }
+        let need = size(job, n);
+        let at = self
+            .pages
+            .iter()
+            .position(|p| p.bytes + need <= self.page_bytes)
+            .unwrap_or(self.pages.len()) as u64;
+        self.adopt(at, ix, n, job);
+        at
+    }
+
+    /// Notes that the page holds the span.
+    pub fn adopt(&mut self, page: u64, ix: JobIx, n: u64, job: &mut Job) {
+        let need = size(job, n);
+        let p = self.page_mut(page);
+        if p.spans.insert((ix, n)) {
+            p.bytes += need;
+        }
+        job.done_pages.insert(n, page);
+    }
+
+    /// The page cannot be read: nothing is written to it.
+    pub fn set_aside(&mut self, page: u64) {
+        let full = self.page_bytes;
+        self.page_mut(page).bytes = full;
+    }
+
+    /// Forgets a job that is over. Its entries vanish when their pages are next written.
+    pub fn drop_job(&mut self, ix: JobIx, job: &Job) {
+        for (n, page) in &job.done_pages {
+            let need = size(job, *n);
+            let p = self.page_mut(*page);
+            if p.spans.remove(&(ix, *n)) {
+                p.bytes = p.bytes.saturating_sub(need);
+            }
+        }
+    }
+
+    /// The current content of a page.
+    pub fn record(&self, page: u64, jobs: &Jobs) -> DonePageRecord {
+        let spans = self.pages.get(page as usize).map(|p| &p.spans);
+        let jobs = spans
+            .into_iter()
+            .flatten()
+            .filter_map(|(ix, n)| {
+                let job = jobs.get(*ix)?;
+                Some((job.id.clone(), *n, job.done_bits(*n)))
+            })
+            .collect();
+        DonePageRecord { jobs }
+    }
+}
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -34,6 +34,8 @@
 const RELEASE_MOST: usize = 100;
 /// Most machines in one rental request.
 const RENT_MOST: u64 = 50;
+/// Most machines of one offer in one round of the decider.
+const RENT_ROUND: u64 = 2 * RENT_MOST;
 const CLOUD_TIMEOUT: Micros = 4 * SECOND;
 
 /// A machine that was rented and has not reported yet.
@@ -216,6 +218,44 @@
         .collect()
 }
 
+/// Machines of one offer that are up, with what is taken of them.
+struct Supply {
+    offer: Offer,
+    machines: f64,
+    /// Tasks by the time they still take, in seconds: that time, the part of a machine that the
+    /// task takes, and the sum of both's products up to this one.
+    taken: Vec<(f64, f64, f64)>,
+}
+
+impl Supply {
+    fn sum_up(&mut self) {
+        self.taken.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut sum = 0.0;
+        for (left, part, so_far) in &mut self.taken {
+            sum += *left * *part;
+            *so_far = sum;
+        }
+        // What is left of the parts from each task on is needed as often as the products.
+        let mut parts = 0.0;
+        for (_, part, _) in self.taken.iter_mut().rev() {
+            parts += *part;
+            *part = parts;
+        }
+    }
+
+    /// Machines' worth of room within `d` seconds: a task that ends before leaves its room for
+    /// the rest of the time.
+    fn free_within(&self, d: f64) -> f64 {
+        let at = self.taken.partition_point(|(left, _, _)| *left < d);
+        let ending = match at {
+            0 => 0.0,
+            _ => self.taken[at - 1].2 / d.max(EPS),
+        };
+        let staying = self.taken.get(at).map_or(0.0, |(_, parts, _)| *parts);
+        (self.machines - ending - staying).max(0.0)
+    }
+}
+
 /// How many tasks fit an empty machine of the type; 0 if the job does not permit it.
 fn slots_of(t: &MachineType, zone: &str, spot: bool, spec: &Submission) -> f64 {
     let permitted = (spec.loaner || !spot)
@@ -669,7 +709,6 @@
             ),
             false => (cx.tuning.deadline_share, cx.tuning.late_deadline_us),
         };
-        let usage = self.usage();
         let boot = cx
             .catalogue
             .iter()
@@ -709,7 +748,7 @@
                 _ => d,
             };
             // The team's limit bounds what can run within `d`, whatever is rented.
-            let used = usage.get(&j.spec.owner).copied().unwrap_or((0.0, 0.0));
+            let used = self.usage.get(&j.spec.owner).copied().unwrap_or((0.0, 0.0));
             let plan = planned.entry(&j.spec.owner).or_insert((0.0, 0.0));
             let rounds = (d / t).max(1.0);
             let room = |max: f64, used: f64, planned: f64, need: f64| {
@@ -738,8 +777,37 @@
         work
     }
 
-    /// Power of the machines that are up or booting, without the one named.
-    fn power_of_fleet(&self, cx: &Ctx, work: &[Work], without: Option<&str>) -> Vec<f64> {
+    /// The machines that are up, by offer, as the decider sees them.
+    fn supply(&self, cx: &Ctx) -> Vec<Supply> {
+        let now = cx.now.steady;
+        let silence = cx.settings.report * 3;
+        let mut by_offer: BTreeMap<(&str, &str, bool), Supply> = BTreeMap::new();
+        for m in self.machines.values() {
+            if !m.usable(now, silence) || m.cpus <= 0.0 {
+                continue;
+            }
+            let s = by_offer
+                .entry((&m.machine_type, &m.zone, m.spot))
+                .or_insert_with(|| Supply {
+                    offer: (m.machine_type.clone(), m.zone.clone(), m.spot),
+                    machines: 0.0,
+                    taken: Vec::new(),
+                });
+            s.machines += 1.0;
+            for a in &m.assignments {
+                let part = (a.cpus / m.cpus).max(a.memory / m.memory.max(EPS));
+                s.taken.push((a.remaining(now, 0) as f64 / 1e6, part, 0.0));
+            }
+        }
+        let mut all: Vec<Supply> = by_offer.into_values().collect();
+        for s in &mut all {
+            s.sum_up();
+        }
+        all
+    }
+
+    /// Power of the machines that are up or booting.
+    fn power_of_fleet(&self, cx: &Ctx, supply: &[Supply], work: &[Work]) -> Vec<f64> {
         let now = cx.now.steady;
         let total: f64 = work.iter().map(|w| w.n * w.t).sum();
         let mut sum = vec![0.0; work.len()];
@@ -748,30 +816,14 @@
                 *s += p;
             }
         };
-        let silence = cx.settings.report * 3;
-        for m in self.machines.values() {
-            if Some(m.name.as_str()) == without || !m.usable(now, silence) {
-                continue;
-            }
-            let Some(build) = cx.machine_type(&m.machine_type) else {
+        for s in supply {
+            let Some(build) = cx.machine_type(&s.offer.0) else {
                 continue;
             };
             // Room that is free now counts whole, room freed within `d` by the part of `d` left.
-            let p = power(work, total, None, |i| {
-                let w = &work[i];
-                let all = slots_of(build, &m.zone, m.spot, w.spec);
-                if all <= 0.0 || m.cpus <= 0.0 {
-                    return 0.0;
-                }
-                let mut share = 1.0;
-                for a in &m.assignments {
-                    let remaining = a.remaining(now, 0) as f64 / 1e6;
-                    let part = (a.cpus / m.cpus).max(a.memory / m.memory.max(EPS));
-                    share -= part * (remaining / w.d).min(1.0);
-                }
-                all * share.max(0.0)
-            });
-            add(p);
+            add(power(work, total, None, |i| {
+                slots_of(build, &s.offer.1, s.offer.2, work[i].spec) * s.free_within(work[i].d)
+            }));
         }
         for b in self.fleet.boots.values() {
             let Some(build) = cx.machine_type(&b.machine_type) else {
@@ -819,9 +871,14 @@
         // Cheap machines do the work for the same money however many share it, so they are
         // rented with haste; the others only for what those do not cover in a longer time.
         let mut plan = BTreeMap::new();
-        self.plan(cx, &catalogue, true, &mut plan);
-        self.plan(cx, &catalogue, false, &mut plan);
-        for ((machine_type, zone, spot), number) in plan {
+        let supply = self.supply(cx);
+        self.plan(cx, &catalogue, &supply, true, &mut plan);
+        self.plan(cx, &catalogue, &supply, false, &mut plan);
+        let requests = plan.into_iter().flat_map(|(offer, number): (Offer, u64)| {
+            (0..number.div_ceil(RENT_MOST))
+                .map(move |k| (offer.clone(), (number - k * RENT_MOST).min(RENT_MOST)))
+        });
+        for ((machine_type, zone, spot), number) in requests {
             self.fleet.counter += 1;
             let name = format!("h-{}-{}", self.token, self.fleet.counter);
             info!("{name}: renting {number} of {machine_type} in {zone}, spot {spot}");
@@ -851,6 +908,7 @@
         &self,
         cx: &Ctx,
         catalogue: &[MachineType],
+        supply: &[Supply],
         haste: bool,
         plan: &mut BTreeMap<Offer, u64>,
     ) {
@@ -866,7 +924,7 @@
                 slots_of(t, zone, spot, work[i].spec)
             })
         };
-        let mut have = self.power_of_fleet(cx, &work, None);
+        let mut have = self.power_of_fleet(cx, supply, &work);
         for ((name, zone, spot), number) in plan.iter() {
             if let Some(t) = catalogue.iter().find(|t| t.name == *name) {
                 for (h, p) in have.iter_mut().zip(power_of(t, zone, *spot)) {
@@ -919,7 +977,7 @@
         for _ in 0..room.min(200) {
             let mut best: Option<(f64, usize)> = None;
             for (at, (price, offer, p)) in offers.iter().enumerate() {
-                if plan.get(offer).is_some_and(|n| *n >= RENT_MOST) {
+                if plan.get(offer).is_some_and(|n| *n >= RENT_ROUND) {
                     continue;
                 }
                 // Seconds of work that the machine can do, and those of them that are missing.
@@ -976,12 +1034,35 @@
         }
         // Ordinary machines first: they cost more.
         idle.sort();
+        let work = self.waiting_work(cx, false);
+        let total: f64 = work.iter().map(|w| w.n * w.t).sum();
+        let mut have = match idle.is_empty() {
+            true => Vec::new(),
+            false => self.power_of_fleet(cx, &self.supply(cx), &work),
+        };
+        let mut chosen = Vec::new();
         for (_, _, name) in idle {
-            let work = self.waiting_work(cx, false);
-            let without = self.power_of_fleet(cx, &work, Some(&name));
-            if work.iter().zip(&without).any(|(w, p)| *p + EPS < w.n) {
+            let Some(m) = self.machines.get(&name) else {
+                continue;
+            };
+            let Some(build) = cx.machine_type(&m.machine_type) else {
+                continue;
+            };
+            // An empty machine's power, as it is part of the fleet's.
+            let its = power(&work, total, None, |i| {
+                slots_of(build, &m.zone, m.spot, work[i].spec)
+            });
+            let covered = |((w, h), p): ((&Work, &f64), &f64)| h - p + EPS >= w.n;
+            if !work.iter().zip(&have).zip(&its).all(covered) {
                 break;
             }
+            for (h, p) in have.iter_mut().zip(&its) {
+                *h -= p;
+            }
+            chosen.push(name);
+        }
+        drop(work);
+        for name in chosen {
             info!("{name}: idle, returned");
             if let Some(m) = self.machines.get_mut(&name) {
                 m.closing = true;
@@ -1024,11 +1105,12 @@
             .collect();
         candidates.sort_by(|a, b| (a.0, a.1, &a.2.name).cmp(&(b.0, b.1, &b.2.name)));
         let mut chosen = None;
-        for (_, _, m) in candidates {
+        // Only the best few are tried: the rest comes next time.
+        for (_, _, m) in candidates.into_iter().take(8) {
             let mut stops = Vec::new();
             let mut rooms: Vec<(&Machine, (f64, f64, f64))> = usable
                 .iter()
-                .filter(|o| o.name != m.name && (o.spot || !m.spot))
+                .filter(|o| o.free().0 > EPS && o.name != m.name && (o.spot || !m.spot))
                 .map(|o| (*o, o.free()))
                 .collect();
             let fits = m.assignments.iter().all(|a| {
@@ -1036,9 +1118,9 @@
                     return true;
                 };
                 let spec = &job.spec;
-                let place = rooms
-                    .iter_mut()
-                    .find(|(o, r)| permits(cx, spec, o) && slots(*r, spec) > 0);
+                let place = rooms.iter_mut().find(|(o, r)| {
+                    slots(*r, spec) > 0 && permits(cx, spec, &o.machine_type, &o.zone, o.spot)
+                });
                 let Some((_, r)) = place else { return false };
                 *r = (r.0 - a.cpus, r.1 - a.gpus, r.2 - a.memory);
                 if spec.savepoint_s > 0.0 && a.remaining(now, 0) > 20 * SECOND {
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -3,7 +3,7 @@
 use crate::node::Ctx;
 use crate::{micros, Micros, Settings, SECOND};
 use grebewood_wire::http::{MachineType, Precedence, Submission};
-use grebewood_wire::records::{DoneRecord, JobRecord, DONE_SPAN};
+use grebewood_wire::records::{JobRecord, DONE_SPAN};
 use std::collections::BTreeMap;
 
 /// Place of a job in the job table.
@@ -202,6 +202,12 @@
     pub retry_at: Micros,
     /// Live assignments by zone.
     pub zones: BTreeMap<String, u32>,
+    /// Its tasks that were last seen running.
+    pub running: u32,
+    /// Whether a task of it was ever placed.
+    pub begun: bool,
+    /// The pages that hold its completed tasks, by span.
+    pub done_pages: BTreeMap<u64, u64>,
     /// Mean run time of its own tasks so far, with their number.
     pub run_mean: (Micros, u32),
     /// Since when tasks have been waiting without a place.
@@ -225,6 +231,9 @@
             errors: 0,
             retry_at: 0,
             zones: BTreeMap::new(),
+            running: 0,
+            begun: false,
+            done_pages: BTreeMap::new(),
             run_mean: (0, 0),
             waiting_since: Some(now),
             age_base: now as i64 - age,
@@ -261,6 +270,7 @@
         }
         self.done.set(task, true);
         self.done_count += 1;
+        self.begun = true;
         if self.taken.get(task) {
             self.taken_count -= 1;
         }
@@ -269,6 +279,7 @@
 
     /// Takes a task for an assignment.
     pub fn take(&mut self, task: u64) {
+        self.begun = true;
         if self.taken.get(task) {
             *self.extra.entry(task).or_insert(0) += 1;
             return;
@@ -312,8 +323,8 @@
         None
     }
 
-    /// The record of completed tasks from `n * DONE_SPAN` on.
-    pub fn done_record(&self, n: u64) -> DoneRecord {
+    /// The completed tasks, as hexadecimal digits of four tasks each, from `n * DONE_SPAN` on.
+    pub fn done_bits(&self, n: u64) -> String {
         let from = n * DONE_SPAN;
         let to = (from + DONE_SPAN).min(self.tasks());
         let mut bits = String::with_capacity(((to - from) / 4 + 1) as usize);
@@ -325,12 +336,15 @@
             bits.extend(char::from_digit(digit, 16));
             i += 4;
         }
-        DoneRecord { bits }
+        bits
     }
 
-    /// Reads a record of completed tasks back.
-    pub fn load_done(&mut self, n: u64, record: &DoneRecord) {
-        for (k, c) in record.bits.chars().enumerate() {
+    /// Reads completed tasks back.
+    pub fn load_done(&mut self, n: u64, bits: &str) {
+        if n > MAX_TASKS / DONE_SPAN {
+            return;
+        }
+        for (k, c) in bits.chars().take(DONE_SPAN as usize / 4).enumerate() {
             let digit = c.to_digit(16).unwrap_or(0);
             for b in (0..4).filter(|b| digit >> b & 1 == 1) {
                 self.complete(n * DONE_SPAN + k as u64 * 4 + b);
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -4,11 +4,12 @@
 //! fencing token (`warrant` on the wire): stamps only grow, so each new leader has a higher one,
 //! and every write of a leader is conditional on it.
 
+use crate::done::DonePages;
 use crate::fleet::Fleet;
 use crate::jobs::{Ending, Job, JobIx, Jobs};
 use crate::ledger::{Batch, Ledger, Rec, Rendered};
 use crate::node::{Ctx, LeadCall, Node, Pending, STATE_TIMEOUT};
-use crate::placement::Placement;
+use crate::placement::{Placement, Usage};
 use crate::stats::Stats;
 use crate::users::{absent, put};
 use crate::workers::{Assignment, Machine, Seen};
@@ -20,12 +21,13 @@
 };
 use grebewood_wire::peer::{PeerAnswer, PeerRequest};
 use grebewood_wire::records::{
-    CancelRecord, DoneRecord, HireRecord, JobRecord, LeaderRecord, PageRecord, PastRecord, CANCEL,
-    CATALOGUE, DONE, HIRE, JOB, LEADER, PAGE, PAST, STATS,
+    cancel_key, job_key, CancelRecord, DonePageRecord, DoneRecord, HireRecord, JobKey, JobRecord,
+    LeaderRecord, PageRecord, PastRecord, CATALOGUE, DONE, HIRE, JOB, LEADER, OLD_CANCEL, PAGE,
+    PAST, STATS,
 };
 use grebewood_wire::Value;
 use log::{error, info, warn};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A call of the election.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,9 +71,9 @@
 
 const PROBE: Micros = 500 * MILLI;
 /// How often peers are told of changed progress, so that polls at any node show short tasks too.
-const PROGRESS: Micros = 300 * MILLI;
+const PROGRESS: Micros = 500 * MILLI;
 /// Every so many times they are told all of it.
-const PROGRESS_WHOLE: u32 = 13;
+const PROGRESS_WHOLE: u32 = 5;
 
 impl Election {
     pub fn new(incarnation: u64) -> Self {
@@ -111,6 +113,8 @@
 #[derive(Clone, Debug)]
 pub struct Held {
     pub request: u64,
+    /// The round of placement that it waits for.
+    pub round: u64,
     pub machine: String,
     pub tenure: u64,
     pub tally: u64,
@@ -158,11 +162,19 @@
     pub stats: Stats,
     pub placement: Placement,
     pub held: Vec<Held>,
+    /// When the first of them is answered whatever it waits for.
+    pub held_until: Micros,
+    /// Something happened that any of them may have waited for.
+    pub held_stir: bool,
+    pub done_pages: DonePages,
+    /// What each team uses, from assignment to proof.
+    pub usage: Usage,
+    /// Jobs whose progress changed since the peers were told.
+    pub progress_dirty: BTreeSet<JobIx>,
     watches: BTreeMap<&'static str, Watch>,
     pub attempts: u64,
     pub next_machine_check: Micros,
     progress_at: Micros,
-    progress_sent: BTreeMap<String, (u64, u64)>,
     progress_round: u32,
     stats_at: Micros,
     /// When a worker last reported.
@@ -447,11 +459,15 @@
             stats: Stats::default(),
             placement: Placement::default(),
             held: Vec::new(),
+            held_until: 0,
+            held_stir: false,
+            done_pages: DonePages::new(cx.settings.value_bytes * 9 / 10),
+            usage: Usage::new(),
+            progress_dirty: BTreeSet::new(),
             watches: BTreeMap::new(),
             attempts: 0,
             next_machine_check: now,
             progress_at: now,
-            progress_sent: BTreeMap::new(),
             progress_round: 0,
             stats_at: now + 20 * SECOND,
             heard_at: now,
@@ -490,11 +506,13 @@
         for w in self.watches.values().filter(|w| !w.open) {
             at = at.min(w.retry_at);
         }
-        if self.ledger.in_flight.is_none() && self.ledger.has_dirty() {
-            at = at.min(self.ledger.not_before);
+        if self.ledger.in_flight.is_none() {
+            if let Some(due) = self.ledger.next_due() {
+                at = at.min(due.max(self.ledger.not_before));
+            }
         }
-        for held in &self.held {
-            at = at.min(held.until);
+        if !self.held.is_empty() {
+            at = at.min(self.held_until);
         }
         at.min(self.placement.next_at)
             .min(self.next_machine_check)
@@ -504,7 +522,7 @@
 
     fn start_loading(&mut self, cx: &mut Ctx) {
         let mut loading = Loading::default();
-        for prefix in [JOB, CANCEL, DONE, PAGE, HIRE, STATS, CATALOGUE] {
+        for prefix in [JOB, OLD_CANCEL, DONE, PAGE, HIRE, STATS, CATALOGUE] {
             loading.missing.insert(prefix, None);
             loading.retry.insert(prefix, cx.now.steady);
         }
@@ -619,7 +637,14 @@
         };
         let now = cx.now.steady;
         let mut take = |prefix: &str| loading.entries.remove(prefix).unwrap_or_default();
-        let (jobs, cancels, dones) = (take(JOB), take(CANCEL), take(DONE));
+        let (mut jobs, mut cancels, dones) = (take(JOB), take(OLD_CANCEL), take(DONE));
+        jobs.retain(|e| {
+            let live = !matches!(JobKey::parse(&e.k), Some(JobKey::Cancelled(_)));
+            if !live {
+                cancels.push(e.clone());
+            }
+            live
+        });
         let (pages, hires) = (take(PAGE), take(HIRE));
         let (stats, catalogue) = (take(STATS), take(CATALOGUE));
         for e in jobs {
@@ -627,19 +652,7 @@
         }
         for e in dones {
             self.ledger.stamps.insert(e.k.clone(), e.stamp);
-            let parsed =
-                e.k.strip_prefix(DONE)
-                    .and_then(|rest| rest.rsplit_once('/'))
-                    .and_then(|(id, n)| Some((self.jobs.find(id)?, n.parse::<u64>().ok()?)));
-            match (parsed, from_value::<DoneRecord>(&e.value)) {
-                (Some((ix, n)), Ok(record)) => {
-                    if let Some(job) = self.jobs.get_mut(ix) {
-                        job.load_done(n, &record);
-                    }
-                }
-                (None, _) => {}
-                (_, Err(err)) => error!("record {}: {err}; its tasks may run again", e.k),
-            }
+            self.load_done(&e.k, &e.value);
         }
         for e in pages {
             self.ledger.stamps.insert(e.k.clone(), e.stamp);
@@ -672,16 +685,17 @@
         self.loaded_at = now;
         self.heard_at = now;
         self.placement.next_at = now;
-        for prefix in [JOB, CANCEL] {
-            let watch = Watch {
-                since: loading.epochs.get(prefix).copied().unwrap_or(0),
-                ..Watch::default()
-            };
-            self.watches.insert(prefix, watch);
-        }
+        let watch = Watch {
+            since: loading.epochs.get(JOB).copied().unwrap_or(0),
+            ..Watch::default()
+        };
+        self.watches.insert(JOB, watch);
         let ids: Vec<String> = cancels
             .iter()
-            .filter_map(|e| e.k.strip_prefix(CANCEL).map(str::to_string))
+            .filter_map(|e| match JobKey::parse(&e.k) {
+                Some(JobKey::Cancelled(id)) => Some(id.to_string()),
+                _ => None,
+            })
             .collect();
         for e in &cancels {
             if let Err(err) = from_value::<CancelRecord>(&e.value) {
@@ -732,6 +746,41 @@
         }
     }
 
+    /// Reads completed tasks back, in the present form or in that of an earlier version.
+    fn load_done(&mut self, key: &str, value: &Value) {
+        let rest = key.strip_prefix(DONE).unwrap_or_default();
+        if let Some((id, n)) = rest.rsplit_once('/') {
+            let job = self.jobs.find(id).and_then(|ix| self.jobs.get_mut(ix));
+            match (job, n.parse(), from_value::<DoneRecord>(value)) {
+                (Some(job), Ok(n), Ok(record)) => job.load_done(n, &record.bits),
+                (None, _, _) => {}
+                _ => error!("record {key}: unreadable; its tasks may run again"),
+            }
+            return;
+        }
+        match (rest.parse::<u64>(), from_value::<DonePageRecord>(value)) {
+            (Ok(page), Ok(record)) => {
+                for (id, n, bits) in record.jobs {
+                    let Some(ix) = self.jobs.find(&id) else {
+                        continue;
+                    };
+                    if let Some(job) = self.jobs.get_mut(ix) {
+                        job.load_done(n, &bits);
+                        self.done_pages.adopt(page, ix, n, job);
+                    }
+                }
+            }
+            (page, _) => {
+                // It is kept as it is. Results of tasks are kept too, so those that it lists end
+                // at once when they are started again.
+                error!("record {key}: unreadable; its tasks may run again");
+                if let Ok(page) = page {
+                    self.done_pages.set_aside(page);
+                }
+            }
+        }
+    }
+
     fn load_page(&mut self, cx: &mut Ctx, key: &str, value: &Value) {
         let number = key
             .rsplit_once('/')
@@ -780,9 +829,8 @@
                     stop: None,
                 };
                 self.page_mut(number).add(&m.m, &assignment);
-                self.recovered_machine(cx, &m.m, &m.zone, m.tenure)
-                    .assignments
-                    .push(assignment);
+                self.recovered_machine(cx, &m.m, &m.zone, m.tenure);
+                self.hold(&m.m, assignment);
             }
         }
     }
@@ -825,14 +873,8 @@
 
     /// Tasks completed and running of a live job, for display.
     pub fn progress_of(&self, id: &str) -> Option<(u64, u64)> {
-        let ix = self.jobs.find(id)?;
-        let running = self
-            .machines
-            .values()
-            .flat_map(|m| &m.assignments)
-            .filter(|a| a.job == ix && a.seen == Seen::Running)
-            .count();
-        Some((self.jobs.get(ix)?.done_count, running as u64))
+        let job = self.jobs.get(self.jobs.find(id)?)?;
+        Some((job.done_count, job.running as u64))
     }
 
     /// All timers of the leader.
@@ -858,7 +900,7 @@
             self.stats_at = now + 20 * SECOND;
             if self.stats.changed {
                 self.stats.changed = false;
-                self.ledger.touch(Rec::Stats, now);
+                self.ledger.touch_by(Rec::Stats, now + SECOND);
             }
         }
         self.run_flush(cx);
@@ -920,17 +962,19 @@
             }
         }
         for event in events {
-            self.on_event(cx, prefix, event);
+            self.on_event(cx, event);
         }
     }
 
-    fn on_event(&mut self, cx: &mut Ctx, prefix: &'static str, event: Event) {
+    fn on_event(&mut self, cx: &mut Ctx, event: Event) {
         if let (Some(key), Some(value)) = (&event.put, &event.value) {
-            if prefix == JOB {
-                self.add_job(cx, key, value, event.stamp);
-            } else if let Some(id) = key.strip_prefix(CANCEL) {
-                self.ledger.stamps.insert(key.clone(), event.stamp);
-                self.on_cancelled(cx, id);
+            match JobKey::parse(key) {
+                Some(JobKey::Live(_)) => self.add_job(cx, key, value, event.stamp),
+                Some(JobKey::Cancelled(id)) if self.jobs.find(id).is_some() => {
+                    self.ledger.stamps.insert(key.clone(), event.stamp);
+                    self.on_cancelled(cx, id);
+                }
+                _ => {}
             }
         }
     }
@@ -956,7 +1000,7 @@
                 value: Some(e.value),
                 stamp: e.stamp,
             };
-            self.on_event(cx, prefix, event);
+            self.on_event(cx, event);
         }
     }
 
@@ -1011,10 +1055,10 @@
             apply: vec![change],
         };
         match rec {
-            Rec::Done(ix, n) => {
-                let job = self.jobs.get(*ix)?;
-                let key = format!("{DONE}{}/{n}", job.id);
-                Some(single(key.clone(), put(key, &job.done_record(*n))))
+            Rec::Done(n) => {
+                let key = format!("{DONE}{n}");
+                let record = self.done_pages.record(*n, &self.jobs);
+                Some(single(key.clone(), put(key, &record)))
             }
             Rec::Page(n) => {
                 let key = format!("{PAGE}0/{n}");
@@ -1042,8 +1086,12 @@
             Rec::Over(ix) => {
                 let job = self.jobs.get(*ix)?;
                 let ending = job.ending?;
-                let (live, past) = (format!("{JOB}{}", job.id), format!("{PAST}{}", job.id));
-                let cancel = format!("{CANCEL}{}", job.id);
+                let (live, past) = (job_key(&job.id), format!("{PAST}{}", job.id));
+                let mut cancel = cancel_key(&job.id);
+                let old_cancel = format!("{OLD_CANCEL}{}", job.id);
+                if self.ledger.stamps.contains_key(&old_cancel) {
+                    cancel = old_cancel;
+                }
                 let record = PastRecord {
                     status: ending.status().into(),
                     shards: job.tasks(),
@@ -1065,8 +1113,8 @@
                         r.apply.push(Change::Delete { delete: cancel });
                     }
                 }
-                // Few jobs have more than one record of completed tasks; those that do not fit
-                // here are left behind, which costs room but is harmless.
+                // A record of an earlier version; if there are more, those are left behind,
+                // which costs room but is harmless.
                 let first = format!("{DONE}{}/0", job.id);
                 if self.ledger.stamps.contains_key(&first) {
                     r.when.push(self.ledger.unchanged(&first));
@@ -1083,7 +1131,7 @@
         if self.ledger.in_flight.is_some() || now < self.ledger.not_before {
             return;
         }
-        if !self.ledger.has_dirty() {
+        if self.ledger.next_due().is_none_or(|due| due > now) {
             return;
         }
         if let Some(key) = self.ledger.stale.first().cloned() {
@@ -1103,7 +1151,7 @@
         let mut recs = Vec::new();
         let mut bytes = 0;
         let mut short = false;
-        for rec in self.ledger.dirty() {
+        for rec in self.ledger.due(now) {
             let Some(r) = self.render(cx, &rec) else {
                 self.ledger.forget(&rec);
                 continue;
@@ -1155,14 +1203,10 @@
                     return Err("another leader was elected".into());
                 }
                 for key in failed {
-                    match key.strip_prefix(CANCEL) {
-                        Some(id) => {
-                            let id = id.to_string();
-                            self.on_cancelled(cx, &id);
-                            self.ledger.stale.push(key);
-                        }
-                        None => self.ledger.stale.push(key),
+                    if let Some(JobKey::Cancelled(id)) = JobKey::parse(&key) {
+                        self.on_cancelled(cx, id);
                     }
+                    self.ledger.stale.push(key);
                 }
                 self.ledger.back_off(now, MILLI);
             }
@@ -1276,6 +1320,7 @@
 
     fn flushed(&mut self, cx: &mut Ctx, batch: &Batch, epoch: u64) {
         self.ledger.applied(batch, epoch);
+        self.held_stir = true;
         for (rec, _) in &batch.recs {
             match rec {
                 Rec::Over(ix) => {
@@ -1301,14 +1346,17 @@
 
     fn job_ended(&mut self, ix: JobIx) {
         if let Some(job) = self.jobs.remove(ix) {
-            self.ledger.stamps.remove(&format!("{JOB}{}", job.id));
-            self.ledger.stamps.remove(&format!("{CANCEL}{}", job.id));
-            self.ledger.stamps.remove(&format!("{PAST}{}", job.id));
-            let pages = job.tasks().div_ceil(wire::records::DONE_SPAN);
-            for n in 0..pages {
-                self.ledger.stamps.remove(&format!("{DONE}{}/{n}", job.id));
-                self.ledger.forget(&Rec::Done(ix, n));
+            for key in [
+                job_key(&job.id),
+                cancel_key(&job.id),
+                format!("{OLD_CANCEL}{}", job.id),
+                format!("{PAST}{}", job.id),
+                format!("{DONE}{}/0", job.id),
+            ] {
+                self.ledger.stamps.remove(&key);
             }
+            self.done_pages.drop_job(ix, &job);
+            self.progress_dirty.remove(&ix);
             self.ledger.forget(&Rec::Over(ix));
             self.ended.push_back(job.id);
             if self.ended.len() > 200 {
@@ -1318,31 +1366,19 @@
     }
 
     fn send_progress(&mut self, cx: &mut Ctx) {
-        let mut now_known: BTreeMap<String, (u64, u64)> = self
-            .jobs
-            .iter()
-            .map(|(_, j)| (j.id.clone(), (j.done_count, 0)))
-            .collect();
-        for a in self.machines.values().flat_map(|m| &m.assignments) {
-            if a.seen == Seen::Running {
-                if let Some(p) = now_known.get_mut(&a.job_id) {
-                    p.1 += 1;
-                }
-            }
-        }
         // A node that was not there missed what did not change since: all of it goes out again
         // now and then.
         self.progress_round += 1;
         if self.progress_round.is_multiple_of(PROGRESS_WHOLE) {
-            self.progress_sent.clear();
+            self.progress_dirty
+                .extend(self.jobs.iter().map(|(ix, _)| ix));
+        }
+        let mut changed = Vec::new();
+        while let (Some(ix), true) = (self.progress_dirty.pop_first(), changed.len() < 500) {
+            if let Some(j) = self.jobs.get(ix) {
+                changed.push((j.id.clone(), j.done_count, j.running as u64));
+            }
         }
-        let changed: Vec<(String, u64, u64)> = now_known
-            .iter()
-            .filter(|(id, p)| self.progress_sent.get(*id) != Some(p))
-            .map(|(id, p)| (id.clone(), p.0, p.1))
-            .take(500)
-            .collect();
-        self.progress_sent = now_known;
         if changed.is_empty() {
             return;
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! each input, and randomness from a seed. State in the state service is the truth; what a
 //! `Node` holds in memory is a cache of it.
 
+pub mod done;
 pub mod fleet;
 pub mod jobs;
 pub mod leadership;
@@ -15,6 +16,7 @@
 pub mod settings;
 pub mod stats;
 pub mod users;
+pub mod view;
 pub mod workers;
 
 pub use node::Node;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -3,6 +3,7 @@
 use crate::leadership::{Election, Lead};
 use crate::pace::Bucket;
 use crate::users::{PastJobs, UserCall};
+use crate::view::{View, ViewCall};
 use crate::{
     fleet, leadership, Call, Door, Effect, Input, Micros, Now, Outcome, Settings, Stopwatch,
     Target, Tuning, MILLI, SECOND,
@@ -24,6 +25,7 @@
         what: LeadCall,
     },
     User(UserCall),
+    View(ViewCall),
     /// The machine types, from state (true) or from the cloud.
     Catalogue(bool),
     Contact(usize),
@@ -173,6 +175,7 @@
     pub election: Election,
     pub lead: Option<Box<Lead>>,
     pub past: PastJobs,
+    pub view: View,
     /// What the leader last said of live jobs: completed and running tasks.
     pub progress: BTreeMap<String, (u64, u64)>,
     catalogue_at: Micros,
@@ -210,6 +213,7 @@
             cx,
             lead: None,
             past: PastJobs::new(20_000),
+            view: View::default(),
             progress: BTreeMap::new(),
             catalogue_at: 0,
             catalogue_from_state: true,
@@ -246,7 +250,7 @@
 
     /// When the next [`Input::Tick`] is due.
     pub fn next_wake(&self) -> Micros {
-        let mut at = self.election.next_wake();
+        let mut at = self.election.next_wake().min(self.view.next_wake());
         if self.cx.catalogue.is_none() {
             at = at.min(self.catalogue_at);
         }
@@ -335,7 +339,10 @@
         };
         // Any answer but "unavailable" shows that the state service serves this node.
         let of_state = match &pending {
-            Pending::Election(_) | Pending::User(_) | Pending::Catalogue(true) => true,
+            Pending::Election(_)
+            | Pending::User(_)
+            | Pending::View(_)
+            | Pending::Catalogue(true) => true,
             Pending::Lead { what, .. } => {
                 !matches!(what, LeadCall::Fleet(_) | LeadCall::Direct { .. })
             }
@@ -354,6 +361,7 @@
                 }
             }
             Pending::User(user) => self.on_user_reply(user, outcome),
+            Pending::View(what) => self.on_view(what, outcome),
             Pending::Catalogue(from_state) => self.on_catalogue(from_state, outcome),
             Pending::Contact(peer) => self.on_contact(peer, outcome),
             Pending::Ignore => {}
@@ -400,6 +408,7 @@
             }
         }
         self.run_election();
+        self.run_view();
         self.run_lead(watch);
     }
 }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -70,6 +70,12 @@
     /// Nothing is placed before this time: a page could not be read.
     pub quarantine_until: Micros,
     next_preemption: Micros,
+    /// Rounds so far.
+    pub rounds: u64,
+    /// The last round left tasks waiting.
+    pub backlog: bool,
+    /// The page that takes new assignments.
+    open_page: u64,
 }
 
 impl Placement {
@@ -80,11 +86,19 @@
     }
 }
 
-/// A machine with its place in the order of preference and its free slots.
-type Candidate = (String, (bool, bool, i64), u64);
+/// A machine with room, during a round.
+struct Open {
+    name: String,
+    zone: String,
+    machine_type: String,
+    spot: bool,
+    free: Room,
+    /// Room is being made on it for work of higher priority.
+    kept: bool,
+}
 
 /// Use of a team: CPUs and accelerators.
-type Usage = BTreeMap<String, (f64, f64)>;
+pub type Usage = BTreeMap<String, (f64, f64)>;
 
 impl Lead {
     pub(crate) fn page_mut(&mut self, n: u64) -> &mut Page {
@@ -99,14 +113,22 @@
     /// A page with room for `count` more assignments; one that will be written anyway if there
     /// is one.
     pub(crate) fn page_with_room(&mut self, count: usize) -> u64 {
+        // Assignments of one moment share a page; when it is full, the emptiest comes next, so
+        // that few pages are written.
+        let need = count * 160;
         let most = self.page_bytes;
-        let fits = |p: &Page| !p.broken && p.bytes + count * 160 <= most;
-        let dirty = (0..self.pages.len())
-            .find(|n| fits(&self.pages[*n]) && self.ledger.is_dirty(&Rec::Page(*n as u64)));
-        let any = dirty.or_else(|| (0..self.pages.len()).find(|n| fits(&self.pages[*n])));
-        let n = any.unwrap_or(self.pages.len());
-        self.page_mut(n as u64);
-        n as u64
+        let fits = |p: &Page| !p.broken && p.bytes + need <= most;
+        let open = self.placement.open_page;
+        if self.pages.get(open as usize).is_some_and(fits) {
+            return open;
+        }
+        let emptiest = (0..self.pages.len())
+            .filter(|n| fits(&self.pages[*n]) && self.pages[*n].bytes * 2 <= most)
+            .min_by_key(|n| self.pages[*n].bytes);
+        let n = emptiest.unwrap_or(self.pages.len()) as u64;
+        self.page_mut(n);
+        self.placement.open_page = n;
+        n
     }
 
     /// The current content of a page.
@@ -138,23 +160,6 @@
         record
     }
 
-    /// What each team uses, from assignment to proof.
-    pub(crate) fn usage(&self) -> Usage {
-        let mut usage = Usage::new();
-        for a in self.machines.values().flat_map(|m| &m.assignments) {
-            match usage.get_mut(&a.team) {
-                Some(u) => {
-                    u.0 += a.cpus;
-                    u.1 += a.gpus;
-                }
-                None => {
-                    usage.insert(a.team.clone(), (a.cpus, a.gpus));
-                }
-            }
-        }
-        usage
-    }
-
     /// Time that a job still needs if it gets all the room that its team's limit allows.
     pub(crate) fn need(&self, cx: &Ctx, job: &Job) -> Micros {
         let run = self.stats.expected_run(&job.spec);
@@ -194,6 +199,8 @@
         }
         self.placement.next_at = now + cx.tuning.placement_interval_us;
         self.placement.not_before = self.placement.next_at;
+        self.placement.rounds += 1;
+        self.held_stir = true;
         if !self.placement.wanted && self.placement.resume.is_none() {
             // Rounds without news are needed only for what time itself changes.
             self.placement.next_at = now + SECOND;
@@ -202,92 +209,129 @@
             return;
         }
         self.placement.wanted = false;
-        let mut usage = self.usage();
-        let mut queue = self.queue(cx);
+        let queue = self.queue(cx);
+        let mut open = self.open_machines(cx);
+        let mut order = queue.clone();
         if let Some(from) = self.placement.resume.take() {
-            if let Some(at) = queue.iter().position(|ix| *ix == from) {
-                queue.rotate_left(at);
+            if let Some(at) = order.iter().position(|ix| *ix == from) {
+                order.rotate_left(at);
             }
         }
-        for ix in queue {
+        for ix in order {
+            if open.is_empty() {
+                break;
+            }
             if watch.elapsed() > cx.tuning.placement_budget_us {
                 self.placement.resume = Some(ix);
                 debug!("placement: out of time, goes on with the next round");
                 break;
             }
-            self.place_job(cx, ix, &mut usage);
+            self.place_job(cx, ix, &mut open);
         }
+        self.placement.backlog = queue
+            .iter()
+            .any(|ix| self.jobs.get(*ix).is_some_and(|j| j.waiting() > 0));
         if now >= self.placement.next_preemption {
             self.placement.next_preemption = now + SECOND;
-            self.preempt(cx, &usage);
+            self.preempt(cx, &queue);
         }
     }
 
-    /// Places as many tasks of a job as the team's limit and the machines allow.
-    fn place_job(&mut self, cx: &mut Ctx, ix: JobIx, usage: &mut Usage) {
+    /// Machines with free room.
+    fn open_machines(&self, cx: &Ctx) -> Vec<Open> {
         let now = cx.now.steady;
+        let silence = cx.settings.report * 3;
+        self.machines
+            .values()
+            .filter(|m| m.free().0 > EPS && m.usable(now, silence))
+            .map(|m| Open {
+                name: m.name.clone(),
+                zone: m.zone.clone(),
+                machine_type: m.machine_type.clone(),
+                spot: m.spot,
+                free: m.free(),
+                kept: m.kept_until > now,
+            })
+            .collect()
+    }
+
+    /// Places as many tasks of a job as the team's limit and the machines allow.
+    fn place_job(&mut self, cx: &mut Ctx, ix: JobIx, open: &mut Vec<Open>) {
         let Some(job) = self.jobs.get(ix) else { return };
         let Some(team) = cx.settings.teams.get(&job.spec.owner) else {
             return;
         };
-        let spec = job.spec.clone();
-        let used = usage.entry(spec.owner.clone()).or_insert((0.0, 0.0));
+        let used = self
+            .usage
+            .get(&job.spec.owner)
+            .copied()
+            .unwrap_or((0.0, 0.0));
+        let in_quota = |used: (f64, f64), n: f64| {
+            used.0 + job.spec.vcpus * n <= team.cpus_max + EPS
+                && used.1 + job.spec.accelerators * n <= team.gpus_max + EPS
+        };
         let mut left = job.waiting();
+        if !in_quota(used, 1.0) || left == 0 {
+            return;
+        }
         // A job whose tasks keep failing is tried with one task at a time.
         if job.errors >= 3 {
             let live: u32 = job.zones.values().sum();
             left = left.min(1u64.saturating_sub(live as u64));
         }
+        let spec = job.spec.clone();
+        let in_quota = |used: (f64, f64), n: f64| {
+            used.0 + spec.vcpus * n <= team.cpus_max + EPS
+                && used.1 + spec.accelerators * n <= team.gpus_max + EPS
+        };
         let expected = self.stats.expected_run(&spec);
-        let silence = cx.settings.report * 3;
-        let mut candidates: Vec<Candidate> = self
-            .machines
-            .values()
-            .filter(|m| m.usable(now, silence) && permits(cx, &spec, m))
-            .filter(|m| m.kept_until <= now || spec.precedence > Precedence::Idle)
-            .filter_map(|m| {
-                let slots = slots(m.free(), &spec);
-                let (free, _, _) = m.free();
-                let key = (!m.has_image(&spec.bundle), !m.spot, (free * 1e3) as i64);
-                (slots > 0).then(|| (m.name.clone(), key, slots))
+        // Places in `open`, those with the image first, then spot, then the fullest.
+        let mut candidates: Vec<((bool, bool, i64), usize)> = open
+            .iter()
+            .enumerate()
+            .filter(|(_, o)| {
+                slots(o.free, &spec) > 0
+                    && permits(cx, &spec, &o.machine_type, &o.zone, o.spot)
+                    && (!o.kept || spec.precedence > Precedence::Idle)
+            })
+            .map(|(at, o)| {
+                let image = self
+                    .machines
+                    .get(&o.name)
+                    .is_some_and(|m| m.has_image(&spec.bundle));
+                ((!image, !o.spot, (o.free.0 * 1e3) as i64), at)
             })
             .collect();
-        candidates.sort_by(|a, b| (a.1, &a.0).cmp(&(b.1, &b.0)));
-        let fixed_zone = self.fixed_zone(ix, &spec, &candidates);
+        candidates.sort();
+        let fixed_zone = self.fixed_zone(ix, &spec, &candidates, open);
         let mut together = None;
         if Shape::of(&spec) == Some(Shape::Gang) {
-            let room = self.gang_room(ix, &spec, &candidates, fixed_zone.as_deref());
-            let quota = used.0 + spec.vcpus * left as f64 <= team.cpus_max + EPS
-                && used.1 + spec.accelerators * left as f64 <= team.gpus_max + EPS;
-            if room < left || !quota {
+            let room = self.gang_room(ix, &spec, &candidates, open, fixed_zone.as_deref());
+            if room < left || !in_quota(used, left as f64) {
                 return;
             }
             // The tasks of one start of a gang share its attempt number.
             together = Some(self.next_attempt());
         }
-        for (name, _, slots) in candidates {
-            let Some(zone) = self.machines.get(&name).map(|m| m.zone.clone()) else {
-                continue;
-            };
+        'machines: for (_, at) in candidates {
+            let zone = open[at].zone.clone();
             if fixed_zone.as_ref().is_some_and(|z| *z != zone) {
                 continue;
             }
-            for _ in 0..slots {
-                if left == 0
-                    || used.0 + spec.vcpus > team.cpus_max + EPS
-                    || used.1 + spec.accelerators > team.gpus_max + EPS
-                {
-                    return;
+            while slots(open[at].free, &spec) > 0 {
+                let used = self.usage.get(&spec.owner).copied().unwrap_or((0.0, 0.0));
+                if left == 0 || !in_quota(used, 1.0) {
+                    break 'machines;
                 }
                 let Some(job) = self.jobs.get_mut(ix) else {
-                    return;
+                    break 'machines;
                 };
                 let here = job.zones.get(&zone).copied().unwrap_or(0) as u64;
                 if spec.spread && here >= spec.shards.div_ceil(2) {
                     break;
                 }
                 let Some(task) = job.next_waiting() else {
-                    return;
+                    break 'machines;
                 };
                 job.take(task);
                 *job.zones.entry(zone.clone()).or_insert(0) += 1;
@@ -295,15 +339,20 @@
                     job.waiting_since = None;
                 }
                 left -= 1;
-                used.0 += spec.vcpus;
-                used.1 += spec.accelerators;
                 let attempt = match together {
                     Some(attempt) => attempt,
                     None => self.next_attempt(),
                 };
-                self.assign(cx, &name, ix, task, &spec, (attempt, expected));
+                self.assign(cx, &open[at].name, ix, task, &spec, (attempt, expected));
+                let free = &mut open[at].free;
+                *free = (
+                    free.0 - spec.vcpus,
+                    free.1 - spec.accelerators,
+                    free.2 - spec.memory_gb,
+                );
             }
         }
+        open.retain(|o| o.free.0 > EPS);
     }
 
     /// How many tasks of a gang could be placed at once.
@@ -311,23 +360,17 @@
         &self,
         ix: JobIx,
         spec: &Submission,
-        candidates: &[Candidate],
+        candidates: &[((bool, bool, i64), usize)],
+        open: &[Open],
         fixed_zone: Option<&str>,
     ) -> u64 {
-        let mut zones: BTreeMap<&str, u64> = BTreeMap::new();
-        for (name, _, slots) in candidates {
-            if let Some(m) = self.machines.get(name) {
-                if fixed_zone.is_none_or(|z| z == m.zone) {
-                    *zones.entry(&m.zone).or_insert(0) += slots;
-                }
-            }
-        }
         let here = |zone: &str| {
             let n = self.jobs.get(ix).and_then(|j| j.zones.get(zone));
             n.copied().unwrap_or(0) as u64
         };
-        zones
+        room_by_zone(spec, candidates, open)
             .into_iter()
+            .filter(|(zone, _)| fixed_zone.is_none_or(|z| z == *zone))
             .map(|(zone, n)| {
                 if spec.spread {
                     n.min(spec.shards.div_ceil(2).saturating_sub(here(zone)))
@@ -339,7 +382,13 @@
     }
 
     /// The zone that a `one_zone` job is bound to: where its tasks are, else where most fit.
-    fn fixed_zone(&self, ix: JobIx, spec: &Submission, candidates: &[Candidate]) -> Option<String> {
+    fn fixed_zone(
+        &self,
+        ix: JobIx,
+        spec: &Submission,
+        candidates: &[((bool, bool, i64), usize)],
+        open: &[Open],
+    ) -> Option<String> {
         if !spec.one_zone {
             return None;
         }
@@ -347,13 +396,8 @@
         if let Some((zone, _)) = job.zones.iter().find(|(_, n)| **n > 0) {
             return Some(zone.clone());
         }
-        let mut room: BTreeMap<&str, u64> = BTreeMap::new();
-        for (name, _, slots) in candidates {
-            if let Some(m) = self.machines.get(name) {
-                *room.entry(&m.zone).or_insert(0) += slots;
-            }
-        }
-        room.into_iter()
+        room_by_zone(spec, candidates, open)
+            .into_iter()
             .max_by_key(|(_, n)| *n)
             .map(|(z, _)| z.to_string())
     }
@@ -395,81 +439,91 @@
         };
         m.use_image(&spec.bundle, spec.pull_gb);
         m.idle_since = now;
-        m.assignments.push(assignment.clone());
         self.page_mut(page).add(name, &assignment);
+        self.hold(name, assignment);
     }
 
     /// Stops tasks of lower priority that can save, for jobs that wait for room or for their
     /// team's quota. Only as much is stopped on a machine as makes room there for a whole task,
     /// and that room is kept from lower priorities until it is taken: narrow tasks that were
     /// stopped for a wide one used to come back into the gap, to be stopped again.
-    fn preempt(&mut self, cx: &mut Ctx, usage: &Usage) {
+    fn preempt(&mut self, cx: &mut Ctx, queue: &[JobIx]) {
         let now = cx.now.steady;
+        let wants = |j: &Job| {
+            let waited = j.waiting_since.map_or(0, |at| now.saturating_sub(at));
+            j.spec.precedence > Precedence::Idle
+                && j.errors < 3
+                && j.waiting() > 0
+                && waited >= cx.tuning.preempt_after_us
+        };
+        let queue: Vec<JobIx> = queue
+            .iter()
+            .copied()
+            .filter(|ix| self.jobs.get(*ix).is_some_and(wants))
+            .collect();
+        if queue.is_empty() {
+            return;
+        }
         let silence = cx.settings.report * 3;
         let mut stopping: BTreeMap<String, f64> = BTreeMap::new();
-        let mut future: BTreeMap<String, Room> = BTreeMap::new();
+        // What is free, or will be, and what could be stopped, on each machine.
+        let mut pool: Vec<(&Machine, Room, Vec<Victim>)> = Vec::new();
         for m in self.machines.values().filter(|m| m.usable(now, silence)) {
             let mut room = m.free();
             for a in m.assignments.iter().filter(|a| a.stop.is_some()) {
                 room = (room.0 + a.cpus, room.1 + a.gpus, room.2 + a.memory);
                 *stopping.entry(a.team.clone()).or_insert(0.0) += a.cpus;
             }
-            future.insert(m.name.clone(), room);
+            let victims = self.victims(cx, m);
+            if room.0 > EPS || !victims.is_empty() {
+                pool.push((m, room, victims));
+            }
         }
         let mut stops: Vec<(String, u64, Micros)> = Vec::new();
-        for ix in self.queue(cx) {
+        for ix in queue {
             let Some(j) = self.jobs.get(ix) else { continue };
-            let waited = j.waiting_since.map_or(0, |at| now.saturating_sub(at));
             let spec = &j.spec;
-            if spec.precedence == Precedence::Idle
-                || j.errors >= 3
-                || waited < cx.tuning.preempt_after_us
-            {
-                continue;
-            }
             let Some(team) = cx.settings.teams.get(&spec.owner) else {
                 continue;
             };
             let mut need = j.waiting();
-            let mut quota = team.cpus_max - usage.get(&spec.owner).map_or(0.0, |u| u.0)
+            let mut quota = team.cpus_max - self.usage.get(&spec.owner).map_or(0.0, |u| u.0)
                 + stopping.get(&spec.owner).copied().unwrap_or(0.0);
             let task = (spec.vcpus, spec.accelerators, spec.memory_gb);
+            let fits_here = |m: &Machine| permits(cx, spec, &m.machine_type, &m.zone, m.spot);
             // What is free, or will be, is counted first.
-            for (name, room) in &mut future {
-                if !self
-                    .machines
-                    .get(name)
-                    .is_some_and(|m| permits(cx, spec, m))
+            for (m, room, _) in &mut pool {
+                while need > 0
+                    && quota + EPS >= spec.vcpus
+                    && slots(*room, spec) > 0
+                    && fits_here(m)
                 {
-                    continue;
-                }
-                while need > 0 && quota + EPS >= spec.vcpus && slots(*room, spec) > 0 {
                     *room = (room.0 - task.0, room.1 - task.1, room.2 - task.2);
                     quota -= spec.vcpus;
                     need -= 1;
                 }
             }
-            for (name, room) in &mut future {
+            for (m, room, victims) in &mut pool {
                 if need == 0 {
                     break;
                 }
-                let Some(m) = self.machines.get(name) else {
-                    continue;
-                };
-                if !permits(cx, spec, m) {
+                if victims.is_empty() || !fits_here(m) {
                     continue;
                 }
-                let mut victims = self.victims(cx, m, spec);
-                victims.retain(|v| !stops.iter().any(|(_, attempt, _)| *attempt == v.attempt));
+                // Its own team's tasks first, since they free quota too; then the youngest.
+                victims.sort_by_key(|v| (v.team != spec.owner, v.ran, v.attempt));
                 while need > 0 {
                     let mut gain = *room;
                     let mut quota_gain = quota;
-                    let mut count = 0;
-                    for v in &victims {
+                    let mut chosen = Vec::new();
+                    for (at, v) in victims.iter().enumerate() {
                         if slots(gain, spec) > 0 && quota_gain + EPS >= spec.vcpus {
                             break;
                         }
-                        count += 1;
+                        if v.precedence >= spec.precedence {
+                            continue;
+                        }
+                        chosen.push(at);
                         gain = (gain.0 + v.cpus, gain.1 + v.gpus, gain.2 + v.memory);
                         if v.team == spec.owner {
                             quota_gain += v.cpus;
@@ -478,8 +532,9 @@
                     if slots(gain, spec) == 0 || quota_gain + EPS < spec.vcpus {
                         break;
                     }
-                    for v in victims.drain(..count) {
-                        stops.push((name.clone(), v.attempt, v.leeway));
+                    for at in chosen.into_iter().rev() {
+                        let v = victims.remove(at);
+                        stops.push((m.name.clone(), v.attempt, v.leeway));
                     }
                     *room = (gain.0 - task.0, gain.1 - task.1, gain.2 - task.2);
                     quota = quota_gain - spec.vcpus;
@@ -495,8 +550,8 @@
         }
     }
 
-    /// Tasks on the machine that may be stopped for a task of the job, the youngest first.
-    fn victims(&self, cx: &Ctx, m: &Machine, spec: &Submission) -> Vec<Victim> {
+    /// Tasks on the machine that may be stopped for others of higher priority.
+    fn victims(&self, cx: &Ctx, m: &Machine) -> Vec<Victim> {
         let now = cx.now.steady;
         let mut victims = Vec::new();
         for a in &m.assignments {
@@ -510,7 +565,6 @@
                 false => 5 * SECOND,
             };
             if a.stop.is_some()
-                || job.spec.precedence >= spec.precedence
                 || job.spec.savepoint_s <= 0.0
                 || a.seen != Seen::Running
                 || ran < least_run
@@ -520,6 +574,7 @@
             }
             victims.push(Victim {
                 ran,
+                precedence: job.spec.precedence,
                 attempt: a.attempt,
                 team: a.team.clone(),
                 leeway: leeway(micros(job.spec.flush_s)),
@@ -528,7 +583,6 @@
                 memory: a.memory,
             });
         }
-        victims.sort_by_key(|v| (v.team != spec.owner, v.ran, v.attempt));
         victims
     }
 }
@@ -536,6 +590,7 @@
 /// A task that may be stopped for another.
 struct Victim {
     ran: Micros,
+    precedence: Precedence,
     attempt: u64,
     team: String,
     leeway: Micros,
@@ -547,15 +602,35 @@
 /// CPUs, accelerators and memory.
 type Room = (f64, f64, f64);
 
-/// Whether the job permits the machine.
-pub(crate) fn permits(cx: &Ctx, spec: &Submission, m: &Machine) -> bool {
-    (spec.loaner || !m.spot)
-        && spec.yard.as_ref().is_none_or(|y| *y == m.zone)
+/// Whether the job permits such a machine.
+pub(crate) fn permits(
+    cx: &Ctx,
+    spec: &Submission,
+    machine_type: &str,
+    zone: &str,
+    spot: bool,
+) -> bool {
+    (spec.loaner || !spot)
+        && spec.yard.as_ref().is_none_or(|y| y == zone)
         && cx
-            .machine_type(&m.machine_type)
+            .machine_type(machine_type)
             .is_some_and(|t| fits_type(spec, t))
 }
 
+/// Free slots by zone, among the candidates.
+fn room_by_zone<'a>(
+    spec: &Submission,
+    candidates: &[((bool, bool, i64), usize)],
+    open: &'a [Open],
+) -> BTreeMap<&'a str, u64> {
+    let mut zones: BTreeMap<&str, u64> = BTreeMap::new();
+    for (_, at) in candidates {
+        let o = &open[*at];
+        *zones.entry(&o.zone).or_insert(0) += slots(o.free, spec);
+    }
+    zones
+}
+
 /// How many tasks of the job fit into the free room.
 pub(crate) fn slots(free: (f64, f64, f64), spec: &Submission) -> u64 {
     let fit = |have: f64, need: f64| {
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -1,19 +1,17 @@
 //! Users' requests: submissions, polls and cancellations, at any node.
 //!
-//! Every node serves users from the state service itself, so that no node can give an answer
-//! older than another's. A live job has a `job/<id>` key; when it is over, one transaction puts
-//! `past/<id>` and deletes `job/<id>` and `cancel/<id>`. The keys are read in the order cancel,
-//! job, past: a job found live after its cancellation was not found had not been cancelled when
-//! the first read was made (the other order could miss a cancellation that is cleaned up in
-//! between), and a job found neither live nor past was never accepted.
+//! Every node serves users from its [`crate::view`], which is brought up to date after a request
+//! came in, so that no node can give an answer older than another's. A live job has a `job/<id>`
+//! key; when it is over, one transaction puts `past/<id>` and deletes what is under `job/<id>`. So
+//! a job that is not live in the view, and after that has no end on record, was never accepted.
 
 use crate::jobs::{check_fields, check_possible, valid_id, Refused};
 use crate::ledger::Rec;
 use crate::node::{Ctx, Node, Pending};
-use crate::Outcome;
+use crate::{Micros, Outcome};
 use grebewood_wire as wire;
 use grebewood_wire::http::{Accepted, Change, Entry, JobStatus, Submission, Txn, When};
-use grebewood_wire::records::{CancelRecord, JobRecord, PastRecord, CANCEL, JOB, PAST};
+use grebewood_wire::records::{cancel_key, job_key, CancelRecord, JobRecord, PastRecord, PAST};
 use log::{debug, warn};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -30,8 +28,8 @@
 pub enum Stage {
     /// The transaction that accepts the job.
     Accept,
-    ReadJob,
-    ReadCancel,
+    /// Waits for a view that is no older than the request.
+    View,
     ReadPast,
     /// The transaction that cancels the job.
     Cancel,
@@ -44,8 +42,9 @@
     pub job: String,
     pub ask: Ask,
     pub stage: Stage,
-    /// Tasks and stamp of the live job, once read.
-    live: Option<(u64, u64)>,
+    pub arrived: Micros,
+    /// Tasks and stamp of the live job, once known.
+    pub live: Option<(u64, u64)>,
     /// The accepting transaction had no clear outcome.
     doubtful: bool,
     rounds: u8,
@@ -116,12 +115,13 @@
             job,
             ask: Ask::Submit(Box::new(submission)),
             stage: Stage::Accept,
+            arrived: now,
             live: None,
             doubtful: false,
             rounds: 0,
         };
         if !possible {
-            call.stage = Stage::ReadCancel;
+            call.stage = Stage::View;
             return self.user_send(call);
         }
         if !self.cx.writes.take(now, 1.0) {
@@ -146,7 +146,8 @@
             request: id,
             job: job.to_string(),
             ask,
-            stage: Stage::ReadCancel,
+            stage: Stage::View,
+            arrived: self.cx.now.steady,
             live: None,
             doubtful: false,
             rounds: 0,
@@ -162,12 +163,15 @@
     }
 
     /// Sends the request of the call's stage to the state service.
-    fn user_send(&mut self, mut call: UserCall) {
+    pub(crate) fn user_send(&mut self, mut call: UserCall) {
         let now = self.cx.now.steady;
         call.rounds += 1;
         if call.rounds > 8 {
             return self.cx.refuse(call.request, 503, "too many conflicts");
         }
+        if call.stage == Stage::View {
+            return self.wait_for_view(call);
+        }
         if !self.cx.reads.take(now, 1.0) {
             return self.cx.refuse(call.request, 429, "too many requests");
         }
@@ -178,7 +182,7 @@
                     spec: (**spec).clone(),
                     accepted_us: self.cx.now.wall,
                 };
-                let key = format!("{JOB}{}", call.job);
+                let key = job_key(&call.job);
                 let txn = Txn {
                     when: vec![absent(&key), absent(&format!("{PAST}{}", call.job))],
                     apply: vec![put(key, &record)],
@@ -187,9 +191,9 @@
             }
             Stage::Cancel => {
                 let Some((_, stamp)) = call.live else { return };
-                let key = format!("{CANCEL}{}", call.job);
+                let key = cancel_key(&call.job);
                 let live = When {
-                    k: format!("{JOB}{}", call.job),
+                    k: job_key(&call.job),
                     stamp,
                 };
                 let record = CancelRecord {
@@ -201,13 +205,9 @@
                 };
                 self.cx.post_state("/txn", &txn, Pending::User(call));
             }
-            Stage::ReadJob | Stage::ReadCancel | Stage::ReadPast => {
-                let prefix = match call.stage {
-                    Stage::ReadJob => JOB,
-                    Stage::ReadCancel => CANCEL,
-                    _ => PAST,
-                };
-                let key = format!("{prefix}{}", call.job);
+            Stage::View => {}
+            Stage::ReadPast => {
+                let key = format!("{PAST}{}", call.job);
                 self.cx.read_key(&key, Pending::User(call));
             }
         }
@@ -228,37 +228,18 @@
                 self.cx.answer(call.request, 201, &accepted);
             }
             (Stage::Accept, 409) => {
-                call.stage = Stage::ReadCancel;
+                call.stage = Stage::View;
                 self.user_send(call);
             }
             (Stage::Accept, 0) => {
                 // The outcome is unknown: read back before anything is said.
                 call.doubtful = true;
-                call.stage = Stage::ReadCancel;
+                call.stage = Stage::View;
                 self.user_send(call);
             }
             (Stage::Cancel, 200) => self.user_cancelled(&call),
             (Stage::Cancel, 409 | 0) => {
-                call.stage = Stage::ReadCancel;
-                self.user_send(call);
-            }
-            (Stage::ReadJob, 200) => match wire::from_cbor::<Entry<JobRecord>>(&body) {
-                Ok(entry) => {
-                    call.live = Some((entry.value.spec.shards, entry.stamp));
-                    self.user_found_live(call);
-                }
-                Err(e) => {
-                    warn!("record {JOB}{}: {e}", call.job);
-                    self.cx.refuse(call.request, 503, "unreadable record");
-                }
-            },
-            (Stage::ReadJob, 404) => {
-                call.stage = Stage::ReadPast;
-                self.user_send(call);
-            }
-            (Stage::ReadCancel, 200) => self.user_cancelled(&call),
-            (Stage::ReadCancel, 404) => {
-                call.stage = Stage::ReadJob;
+                call.stage = Stage::View;
                 self.user_send(call);
             }
             (Stage::ReadPast, 200) => match wire::from_cbor::<Entry<PastRecord>>(&body) {
@@ -281,7 +262,7 @@
         }
     }
 
-    fn user_found_live(&mut self, mut call: UserCall) {
+    pub(crate) fn user_found_live(&mut self, mut call: UserCall) {
         match call.ask {
             Ask::Cancel if self.cx.writes.take(self.cx.now.steady, 1.0) => {
                 call.stage = Stage::Cancel;
@@ -342,7 +323,7 @@
         }
     }
 
-    fn user_cancelled(&mut self, call: &UserCall) {
+    pub(crate) fn user_cancelled(&mut self, call: &UserCall) {
         let shards = call.live.map_or(0, |(shards, _)| shards);
         let past = PastRecord {
             status: "aborted".into(),
--- /dev/null
+++ b/crates/core/src/view.rs
@@ -0,0 +1,267 @@
+//! A node's view of the live jobs, from which it answers users.
+//!
+//! The state service's rate is far too small for a read a poll. Requests that need the state of a
+//! job therefore wait, a few milliseconds mostly, for one `GET /changes` that is sent after they
+//! came in: it brings the view up to date as of a moment after their arrival, and answers all of
+//! them at once. So no node gives an answer that is older than another's. A view that has missed
+//! too much is read anew.
+
+use crate::node::{Node, Pending, STATE_TIMEOUT};
+use crate::users::{Stage, UserCall};
+use crate::{Micros, Outcome, Target, MILLI};
+use grebewood_wire as wire;
+use grebewood_wire::http::{Changes, Entry, EntryList};
+use grebewood_wire::records::{JobKey, JobRecord, JOB, OLD_CANCEL};
+use grebewood_wire::Value;
+use log::{debug, error};
+use std::collections::BTreeMap;
+
+/// A request of the view to the state service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ViewCall {
+    /// A page of the keys with this prefix.
+    List(&'static str),
+    Changes,
+}
+
+/// What a node knows of a live job.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LiveJob {
+    pub tasks: u64,
+    pub stamp: u64,
+    pub cancelled: bool,
+}
+
+/// Keys that are read to build the view, in this order.
+const PREFIXES: [&str; 2] = [JOB, OLD_CANCEL];
+/// Shortest time between two requests of the view.
+const INTERVAL: Micros = 60 * MILLI;
+/// A user's request waits no longer than this.
+const PATIENCE: Micros = 1_400 * MILLI;
+
+/// The view.
+#[derive(Debug, Default)]
+pub struct View {
+    live: BTreeMap<String, LiveJob>,
+    /// Up to date as of this revision; while the view is read, that of the first page.
+    since: Option<u64>,
+    /// Prefixes yet to be read, and where the list of the first one goes on.
+    unread: Vec<&'static str>,
+    after: Option<String>,
+    built: bool,
+    busy: bool,
+    next_at: Micros,
+    /// Requests that the reply under way answers, and those that came in after it was sent.
+    asked: Vec<UserCall>,
+    waiting: Vec<UserCall>,
+}
+
+impl View {
+    pub fn get(&self, id: &str) -> Option<&LiveJob> {
+        self.live.get(id)
+    }
+
+    pub fn next_wake(&self) -> Micros {
+        let wanted = !self.built || !self.waiting.is_empty();
+        let mut at = match wanted && !self.busy {
+            true => self.next_at,
+            false => Micros::MAX,
+        };
+        // Requests wait in the order in which they came.
+        if let Some(call) = self.waiting.first() {
+            at = at.min(call.arrived + PATIENCE);
+        }
+        at
+    }
+
+    fn put(&mut self, key: &str, value: &Value, stamp: u64) {
+        match JobKey::parse(key) {
+            Some(JobKey::Live(id)) => {
+                let tasks = match wire::http::from_value::<JobRecord>(value) {
+                    Ok(record) => record.spec.shards,
+                    Err(e) => {
+                        error!("record {key}: {e}; the job stays known");
+                        0
+                    }
+                };
+                let job = self.entry(id);
+                (job.tasks, job.stamp) = (tasks, stamp);
+            }
+            Some(JobKey::Cancelled(id)) => self.entry(id).cancelled = true,
+            None => {}
+        }
+    }
+
+    fn entry(&mut self, id: &str) -> &mut LiveJob {
+        self.live.entry(id.to_string()).or_insert(LiveJob {
+            tasks: 0,
+            stamp: 0,
+            cancelled: false,
+        })
+    }
+
+    fn delete(&mut self, key: &str) {
+        // A cancellation goes with its job, in one transaction.
+        if let Some(JobKey::Live(id)) = JobKey::parse(key) {
+            self.live.remove(id);
+        }
+    }
+
+    fn restart(&mut self) {
+        self.built = false;
+        self.live.clear();
+        self.since = None;
+        self.unread = PREFIXES.to_vec();
+        self.after = None;
+    }
+}
+
+impl Node {
+    /// Lets a user's request wait for a view that is no older than the request.
+    pub(crate) fn wait_for_view(&mut self, call: UserCall) {
+        self.view.waiting.push(call);
+    }
+
+    pub(crate) fn run_view(&mut self) {
+        let now = self.cx.now.steady;
+        let overdue = |c: &UserCall| now >= c.arrived + PATIENCE;
+        while self.view.waiting.first().is_some_and(overdue) {
+            let call = self.view.waiting.remove(0);
+            self.cx
+                .refuse(call.request, 503, "the state service is not in time");
+        }
+        let v = &mut self.view;
+        if v.busy || now < v.next_at || (v.built && v.waiting.is_empty()) {
+            return;
+        }
+        if !self.cx.reads.take(now, 1.0) {
+            v.next_at = self.cx.reads.ready_at(now, 1.0);
+            return;
+        }
+        if !v.built && v.unread.is_empty() {
+            v.restart();
+        }
+        v.busy = true;
+        v.next_at = now + INTERVAL;
+        let (path, what) = match (v.unread.first(), v.since) {
+            (Some(prefix), _) => {
+                let after = match &v.after {
+                    Some(key) => format!("&since={key}"),
+                    None => String::new(),
+                };
+                let path = format!("/kv?prefix={prefix}{after}&page=400");
+                (path, ViewCall::List(prefix))
+            }
+            (None, since) => {
+                v.asked.append(&mut v.waiting);
+                let since = since.unwrap_or(0);
+                let path = format!("/changes?prefix={JOB}&since={since}&block_ms=0");
+                (path, ViewCall::Changes)
+            }
+        };
+        self.cx.call(
+            Target::State,
+            "GET",
+            path,
+            Vec::new(),
+            STATE_TIMEOUT,
+            Pending::View(what),
+        );
+    }
+
+    pub(crate) fn on_view(&mut self, what: ViewCall, outcome: Outcome) {
+        let now = self.cx.now.steady;
+        self.view.busy = false;
+        let (status, body) = match outcome {
+            Outcome::Answer { status, body } => (status, body),
+            _ => (0, Vec::new()),
+        };
+        match what {
+            ViewCall::List(_) => {
+                let list = wire::from_cbor::<EntryList>(&body);
+                match list {
+                    Ok(list) if status == 200 => self.on_view_list(list),
+                    _ => {
+                        debug!("the view's list got {status}");
+                        self.view.next_at = now + 200 * MILLI;
+                    }
+                }
+            }
+            ViewCall::Changes => match (status, wire::from_cbor::<Changes>(&body)) {
+                (200, Ok(changes)) => {
+                    for event in changes.events {
+                        if let (Some(key), Some(value)) = (&event.put, &event.value) {
+                            self.view.put(key, value, event.stamp);
+                        }
+                        if let Some(key) = &event.delete {
+                            self.view.delete(key);
+                        }
+                    }
+                    self.view.since = self.view.since.max(Some(changes.epoch));
+                    for call in std::mem::take(&mut self.view.asked) {
+                        self.on_fresh_view(call);
+                    }
+                }
+                (503, _) => {
+                    self.view.next_at = now + 200 * MILLI;
+                    for call in std::mem::take(&mut self.view.asked) {
+                        self.cx
+                            .refuse(call.request, 503, "the state service is out of reach");
+                    }
+                }
+                (status, _) => {
+                    debug!("the view's changes got {status}");
+                    // The same requests again, as long as they have patience.
+                    let mut again = std::mem::take(&mut self.view.asked);
+                    again.append(&mut self.view.waiting);
+                    self.view.waiting = again;
+                    self.view.next_at = now + 100 * MILLI;
+                    if status != 0 && status != 429 {
+                        // Too old, or not to be understood: it is read anew.
+                        self.view.restart();
+                    }
+                }
+            },
+        }
+    }
+
+    fn on_view_list(&mut self, list: EntryList) {
+        let v = &mut self.view;
+        // Later pages may be newer: what changed since the first one is told again.
+        v.since.get_or_insert(list.epoch);
+        let last = list.entries.last().map(|e: &Entry<Value>| e.k.clone());
+        for e in &list.entries {
+            v.put(&e.k, &e.value, e.stamp);
+        }
+        if list.more && last.is_some() {
+            v.after = last;
+            return;
+        }
+        v.after = None;
+        v.unread.remove(0);
+        v.built = v.unread.is_empty();
+    }
+
+    /// The view is no older than the request.
+    fn on_fresh_view(&mut self, mut call: UserCall) {
+        match self.view.get(&call.job).cloned() {
+            Some(job) if job.cancelled => {
+                call.live = Some((job.tasks, job.stamp));
+                self.user_cancelled(&call);
+            }
+            // Only an unreadable record has no tasks.
+            Some(job) if job.tasks == 0 => {
+                self.cx.refuse(call.request, 503, "unreadable record");
+            }
+            Some(job) => {
+                call.live = Some((job.tasks, job.stamp));
+                self.user_found_live(call);
+            }
+            None => {
+                // Neither live nor over as of now: it was never accepted.
+                call.stage = Stage::ReadPast;
+                self.user_send(call);
+            }
+        }
+    }
+}
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -1,6 +1,6 @@
 //! Machines as their workers report them, and what is known to be on them.
 
-use crate::jobs::{error_backoff, parse_task, JobIx};
+use crate::jobs::{error_backoff, parse_task, JobIx, EPS};
 use crate::leadership::{Held, Lead};
 use crate::ledger::Rec;
 use crate::node::{Ctx, LeadCall, Node};
@@ -110,6 +110,8 @@
     /// When the cloud takes it.
     pub recall_at: Option<Micros>,
     pub assignments: Vec<Assignment>,
+    /// CPUs, accelerators and memory that the assignments take.
+    pub used: (f64, f64, f64),
     pub reaps: Vec<Reap>,
     pub idle_since: Micros,
     /// Images it has, the most recently used last, with their sizes.
@@ -146,6 +148,7 @@
             last_answer: now,
             recall_at: None,
             assignments: Vec::new(),
+            used: (0.0, 0.0, 0.0),
             reaps: Vec::new(),
             idle_since: now,
             images: VecDeque::new(),
@@ -164,11 +167,15 @@
 
     /// Free CPUs, accelerators and memory. Everything counts from assignment to proof.
     pub fn free(&self) -> (f64, f64, f64) {
-        self.assignments
-            .iter()
-            .fold((self.cpus, self.gpus, self.memory), |(c, g, m), a| {
-                (c - a.cpus, g - a.gpus, m - a.memory)
-            })
+        let (c, g, m) = self.used;
+        (self.cpus - c, self.gpus - g, self.memory - m)
+    }
+
+    /// Sums up anew what the assignments take, after one came or went.
+    fn recount(&mut self) {
+        self.used = self.assignments.iter().fold((0.0, 0.0, 0.0), |u, a| {
+            (u.0 + a.cpus, u.1 + a.gpus, u.2 + a.memory)
+        });
     }
 
     pub fn has_image(&self, image: &str) -> bool {
@@ -208,6 +215,11 @@
 
 /// How long a check-in may wait for a flush before it is answered with what there is.
 const HOLD: Micros = 500 * MILLI;
+/// How long the end of a task may wait to be written.
+const DONE_DELAY: Micros = 2 * SECOND;
+/// How long the removal of an assignment may wait to be written: until then its page lists a task
+/// that is gone, which the next leader finds out from the worker's first report.
+const FREE_DELAY: Micros = 8 * SECOND;
 /// Between two direct commands to one machine.
 const DIRECT_INTERVAL: Micros = 2 * SECOND;
 /// Most commands in one answer, so that it stays below the size limit.
@@ -284,8 +296,8 @@
 
     fn on_checkin(&mut self, cx: &mut Ctx, request: u64, report: Report) {
         let now = cx.now.steady;
-        self.heard_at = now;
         if !self.loaded() {
+            self.heard_at = now;
             // Renews the lease and announces the token while state is still being read.
             return self.answer_checkin(cx, request, Vec::new());
         }
@@ -294,26 +306,42 @@
             return cx.answer(request, 421, &Redirect { steward: None });
         }
         let (machine, tenure, tally) = (report.perch.clone(), report.tenure, report.tally);
+        let fresh = self.on_report(cx, report, Source::Checkin);
+        if !fresh {
+            // A late copy. It renews no lease, and whatever the answer, nobody takes it.
+            return self.answer_checkin(cx, request, Vec::new());
+        }
+        self.heard_at = now;
         // A worker reports one at a time: the one before was given up.
         if let Some(at) = self.held.iter().position(|h| h.machine == machine) {
             let held = self.held.remove(at);
             cx.refuse(held.request, 503, "overtaken by a later report");
         }
-        let fresh = self.on_report(cx, report, Source::Checkin);
-        if let Some(m) = self.machines.get_mut(&machine) {
-            m.last_answer = now;
-        }
-        if !fresh {
+        let Some(m) = self.machines.get_mut(&machine) else {
             return self.answer_checkin(cx, request, Vec::new());
-        }
-        self.held.push(Held {
+        };
+        m.last_answer = now;
+        let mut held = Held {
             request,
+            round: 0,
             machine,
             tenure,
             tally,
             until: now + HOLD,
-        });
-        self.placement.next_at = self.placement.next_at.min(now);
+        };
+        // Room that jobs wait for: the answer waits for the next round of placement.
+        if self.placement.backlog && m.free().0 > EPS && m.usable(now, 3 * cx.settings.report) {
+            self.placement.want(now);
+            held.round = self.placement.rounds + 1;
+        }
+        if self.may_be_answered(cx, &held) {
+            let orders = self.orders(cx, &held);
+            return self.answer_checkin(cx, request, orders);
+        }
+        if self.held.is_empty() {
+            self.held_until = held.until;
+        }
+        self.held.push(held);
     }
 
     fn answer_checkin(&self, cx: &mut Ctx, request: u64, orders: Vec<Order>) {
@@ -345,6 +373,7 @@
             let known = Machine::new(&report, cx.machine_type(&report.build), now);
             *m = Machine {
                 assignments: std::mem::take(&mut m.assignments),
+                used: m.used,
                 reaps: std::mem::take(&mut m.reaps),
                 tenure: m.tenure,
                 tally: m.tally,
@@ -414,6 +443,7 @@
                         return;
                     };
                     let a = &mut m.assignments[at];
+                    let before = a.seen;
                     a.seen = match s.status.as_str() {
                         "running" => Seen::Running,
                         "saving" => Seen::Saving,
@@ -422,6 +452,8 @@
                     if a.seen == Seen::Running && a.started.is_none() {
                         a.started = Some(now);
                     }
+                    let (ix, seen) = (a.job, a.seen);
+                    self.count_running(ix, before, seen);
                 }
                 None if exited => self.exited_unknown(cx, name, job_id, task, s),
                 None => self.foreign(cx, report, job_id, task, s),
@@ -463,6 +495,47 @@
         }
     }
 
+    /// Counts a task of the job that began or ceased to run, as far as seen.
+    fn count_running(&mut self, ix: JobIx, before: Seen, now: Seen) {
+        let (was, is) = (before == Seen::Running, now == Seen::Running);
+        if was == is {
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(ix) {
+            job.running = match is {
+                true => job.running + 1,
+                false => job.running.saturating_sub(1),
+            };
+            self.progress_dirty.insert(ix);
+        }
+    }
+
+    /// Puts an assignment on a machine, and counts it until its proof of absence.
+    pub(crate) fn hold(&mut self, name: &str, a: Assignment) {
+        let Some(m) = self.machines.get_mut(name) else {
+            return;
+        };
+        let used = self.usage.entry(a.team.clone()).or_insert((0.0, 0.0));
+        *used = (used.0 + a.cpus, used.1 + a.gpus);
+        let (ix, seen) = (a.job, a.seen);
+        m.assignments.push(a);
+        m.recount();
+        self.count_running(ix, Seen::Never, seen);
+    }
+
+    /// Notes that a task is done; the result says when that is durable.
+    fn completed(&mut self, cx: &Ctx, ix: JobIx, task: u64) -> Option<(Rec, u64)> {
+        let job = self.jobs.get_mut(ix)?;
+        if !job.complete(task) {
+            return None;
+        }
+        let page = Rec::Done(self.done_pages.page_of(ix, task / DONE_SPAN, job));
+        self.progress_dirty.insert(ix);
+        // The worker keeps the result until it is reaped: the write can wait for others.
+        let due = cx.now.steady + DONE_DELAY;
+        Some((page.clone(), self.ledger.touch_by(page, due)))
+    }
+
     /// An assignment's task has exited.
     fn exited(&mut self, cx: &mut Ctx, name: &str, at: usize, cause: &str, shard: &str) {
         let now = cx.now.steady;
@@ -482,11 +555,7 @@
                     let (mean, n) = job.run_mean;
                     job.run_mean = ((mean * n as u64 + run) / (n as u64 + 1), (n + 1).min(1_000));
                 }
-                if job.complete(a.task) {
-                    let rec = Rec::Done(a.job, a.task / DONE_SPAN);
-                    let version = self.ledger.touch(rec.clone(), now);
-                    after.push((rec, version));
-                }
+                after.extend(self.completed(cx, a.job, a.task));
             }
             ("error", Some(job)) => {
                 job.errors += 1;
@@ -511,10 +580,7 @@
             }
             _ => {}
         }
-        let page = Rec::Page(a.page);
         self.free(cx, name, at);
-        // The outcome is written before the worker may forget it.
-        after.push((page.clone(), self.ledger.version(&page)));
         if let Some(m) = self.machines.get_mut(name) {
             m.reaps.push(Reap {
                 shard: shard.to_string(),
@@ -547,10 +613,7 @@
         let ix = self.jobs.find(job_id);
         let mut after = Vec::new();
         if let (Some("done"), Some(ix)) = (s.cause.as_deref(), ix) {
-            if self.jobs.get_mut(ix).is_some_and(|j| j.complete(task)) {
-                let rec = Rec::Done(ix, task / DONE_SPAN);
-                after.push((rec.clone(), self.ledger.touch(rec, cx.now.steady)));
-            }
+            after.extend(self.completed(cx, ix, task));
             self.end_if_over(cx, ix);
         }
         if let Some(m) = self.machines.get_mut(name) {
@@ -601,9 +664,7 @@
         };
         self.page_mut(page).add(&report.perch, &assignment);
         self.ledger.touch(Rec::Page(page), now);
-        if let Some(m) = self.machines.get_mut(&report.perch) {
-            m.assignments.push(assignment);
-        }
+        self.hold(&report.perch, assignment);
         self.send_direct(cx, &report.perch);
     }
 
@@ -615,9 +676,14 @@
             return;
         };
         let a = m.assignments.remove(at);
+        m.recount();
         m.idle_since = now;
+        if let Some(used) = self.usage.get_mut(&a.team) {
+            *used = (used.0 - a.cpus, used.1 - a.gpus);
+        }
+        self.count_running(a.job, a.seen, Seen::Never);
         self.page_mut(a.page).remove(name, &a);
-        self.ledger.touch(Rec::Page(a.page), now);
+        self.ledger.touch_by(Rec::Page(a.page), now + FREE_DELAY);
         if let Some(job) = self.jobs.get_mut(a.job) {
             job.give_back(a.task);
             if let Some(n) = job.zones.get_mut(&a.zone) {
@@ -774,17 +840,26 @@
     /// Answers the check-ins that wait for nothing any more, or have waited long enough.
     pub(crate) fn run_held(&mut self, cx: &mut Ctx) {
         let now = cx.now.steady;
-        let cut_off = !cx.in_contact(2 * SECOND);
-        let held = std::mem::take(&mut self.held);
-        for h in held {
-            let waits = now < h.until && !cut_off && self.waits_for_flush(&h.machine);
-            if waits {
-                self.held.push(h);
-            } else {
+        if self.held.is_empty() || !(self.held_stir || now >= self.held_until) {
+            return;
+        }
+        self.held_stir = false;
+        for h in std::mem::take(&mut self.held) {
+            if self.may_be_answered(cx, &h) {
                 let orders = self.orders(cx, &h);
                 self.answer_checkin(cx, h.request, orders);
+            } else {
+                self.held.push(h);
             }
         }
+        // They were pushed in the order in which they came.
+        self.held_until = self.held.first().map_or(0, |h| h.until);
+    }
+
+    fn may_be_answered(&self, cx: &Ctx, h: &Held) -> bool {
+        cx.now.steady >= h.until
+            || !cx.in_contact(2 * SECOND)
+            || (self.placement.rounds >= h.round && !self.waits_for_flush(&h.machine))
     }
 
     fn is_durable(&self, after: &[(Rec, u64)], job: Option<JobIx>) -> bool {
@@ -797,10 +872,11 @@
 
     fn waits_for_flush(&self, name: &str) -> bool {
         self.machines.get(name).is_some_and(|m| {
-            m.reaps.iter().any(|r| !self.is_durable(&r.after, r.job))
-                || m.assignments.iter().any(|a| {
-                    a.launched.is_none() && !self.ledger.is_durable(&Rec::Page(a.page), a.written)
-                })
+            m.assignments.iter().any(|a| {
+                a.launched.is_none()
+                    && a.stop.is_none()
+                    && !self.ledger.is_durable(&Rec::Page(a.page), a.written)
+            })
         })
     }
 
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -4,20 +4,26 @@
 //! | --- | --- | --- |
 //! | `leader` | a candidate, under a lease | [`LeaderRecord`]; its stamp is the fencing token |
 //! | `job/<id>` | the node that accepts, once | [`JobRecord`] of a job that is not over |
-//! | `cancel/<id>` | the node that cancels, once | [`CancelRecord`] |
+//! | `job/<id>/cancel` | the node that cancels, once | [`CancelRecord`] |
 //! | `past/<id>` | the leader, once | [`PastRecord`] of a job that is over; kept forever |
-//! | `done/<id>/<n>` | the leader | [`DoneRecord`]: completed tasks |
+//! | `done/<n>` | the leader | [`DonePageRecord`]: completed tasks of many jobs |
 //! | `page/<block>/<n>` | the block's holder | [`PageRecord`]: assignments |
 //! | `hire/<name>` | the leader | [`HireRecord`]: a rental, before it is requested |
 //! | `stats` | the leader | [`StatsRecord`]: learnt averages |
 //! | `catalogue` | the leader | the machine types last seen |
+//!
+//! An earlier version wrote `cancel/<id>` for a cancellation and `done/<id>/<n>` ([`DoneRecord`])
+//! for completed tasks. Both are still read, and removed with their job.
 
 use crate::http::Submission;
 use serde::{Deserialize, Serialize};
 
 pub const LEADER: &str = "leader";
 pub const JOB: &str = "job/";
-pub const CANCEL: &str = "cancel/";
+/// What follows a job's key in that of its cancellation.
+pub const CANCEL: &str = "/cancel";
+/// Prefix of cancellations as an earlier version wrote them.
+pub const OLD_CANCEL: &str = "cancel/";
 pub const PAST: &str = "past/";
 pub const DONE: &str = "done/";
 pub const PAGE: &str = "page/";
@@ -25,6 +31,36 @@
 pub const STATS: &str = "stats";
 pub const CATALOGUE: &str = "catalogue";
 
+/// The key of a job that is not over.
+pub fn job_key(id: &str) -> String {
+    format!("{JOB}{id}")
+}
+
+/// The key of a job's cancellation.
+pub fn cancel_key(id: &str) -> String {
+    format!("{JOB}{id}{CANCEL}")
+}
+
+/// A key that says something of a live job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobKey<'a> {
+    Live(&'a str),
+    Cancelled(&'a str),
+}
+
+impl<'a> JobKey<'a> {
+    pub fn parse(key: &'a str) -> Option<JobKey<'a>> {
+        if let Some(id) = key.strip_prefix(OLD_CANCEL) {
+            return Some(JobKey::Cancelled(id));
+        }
+        let rest = key.strip_prefix(JOB)?;
+        match rest.strip_suffix(CANCEL) {
+            Some(id) => Some(JobKey::Cancelled(id)),
+            None => Some(JobKey::Live(rest)),
+        }
+    }
+}
+
 /// Tasks in one [`DoneRecord`].
 pub const DONE_SPAN: u64 = 2048;
 
@@ -64,6 +100,12 @@
     pub bits: String,
 }
 
+/// Completed tasks of many jobs: `(job, n, bits)` each, with the bits of a [`DoneRecord`].
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct DonePageRecord {
+    pub jobs: Vec<(String, u64, String)>,
+}
+
 /// Assignments, grouped by machine.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct PageRecord {
