--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -18,6 +18,10 @@
     Impossible(String),
 }
 
+/// A job that has not begun after this time is begun ahead of its turn: serving the least work
+/// first must not starve the largest jobs.
+pub const BEGIN_AFTER: Micros = 60 * SECOND;
+
 /// Most tasks that a job may have.
 pub const MAX_TASKS: u64 = 100_000;
 const MAX_NAME: usize = 150;
@@ -204,8 +208,9 @@
     pub zones: BTreeMap<String, u32>,
     /// Its tasks that were last seen running.
     pub running: u32,
-    /// Whether a task of it was ever placed.
-    pub begun: bool,
+
+    /// Its age when a task was first seen running.
+    pub began_at: Option<Micros>,
     /// The pages that hold its completed tasks, by span.
     pub done_pages: BTreeMap<u64, u64>,
     /// Mean run time of its own tasks so far, with their number.
@@ -232,7 +237,7 @@
             retry_at: 0,
             zones: BTreeMap::new(),
             running: 0,
-            begun: false,
+            began_at: None,
             done_pages: BTreeMap::new(),
             run_mean: (0, 0),
             waiting_since: Some(now),
@@ -270,7 +275,6 @@
         }
         self.done.set(task, true);
         self.done_count += 1;
-        self.begun = true;
         if self.taken.get(task) {
             self.taken_count -= 1;
         }
@@ -279,7 +283,6 @@
 
     /// Takes a task for an assignment.
     pub fn take(&mut self, task: u64) {
-        self.begun = true;
         if self.taken.get(task) {
             *self.extra.entry(task).or_insert(0) += 1;
             return;
@@ -309,6 +312,22 @@
         }
     }
 
+    /// Whether the job has waited so long that it is to begin ahead of its turn.
+    pub fn must_begin(&self, now: Micros) -> bool {
+        self.began_at.is_none()
+            && self.done_count == 0
+            && self.taken_count == 0
+            && self.age(now) > BEGIN_AFTER
+    }
+
+    /// How many tasks a job begins with ahead of its turn; all of those that need to run together.
+    pub fn beginning(&self) -> u64 {
+        match Shape::of(&self.spec) {
+            Some(Shape::Batch) => self.tasks().div_ceil(20),
+            _ => self.tasks(),
+        }
+    }
+
     /// The next waiting task.
     pub fn next_waiting(&mut self) -> Option<u64> {
         if self.waiting() == 0 {
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -1326,10 +1326,11 @@
                 Rec::Over(ix) => {
                     if let Some(j) = self.jobs.get(*ix) {
                         info!(
-                            "{}: {} after {} s, {} tasks of {} for {}, {} s each",
+                            "{}: {} after {} s, began after {} s, {} tasks of {} for {}, {} s each",
                             j.id,
                             j.ending.map_or("over", Ending::status),
                             j.age(cx.now.steady) / SECOND,
+                            j.began_at.unwrap_or(0) / SECOND,
                             j.tasks(),
                             j.spec.workclass,
                             j.spec.owner,
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -4,7 +4,7 @@
 //! the free room allow. It has a time budget: a round that runs out of it goes on with the next
 //! job the next time.
 
-use crate::jobs::{fits_type, rank, Job, JobIx, Shape, EPS};
+use crate::jobs::{fits_type, rank, Job, JobIx, Shape, BEGIN_AFTER, EPS};
 use crate::leadership::Lead;
 use crate::ledger::Rec;
 use crate::node::Ctx;
@@ -170,9 +170,10 @@
         (run as f64 * rounds) as Micros
     }
 
-    /// The order in which waiting jobs are served: by priority; those that can still meet an aim
-    /// before those that cannot; then those with the least work left, since that lets the most
-    /// jobs meet their aims when not all of them can.
+    /// The order in which waiting jobs are served: first the beginning of jobs that have waited
+    /// long for one; then by priority; those that can still meet an aim before those that cannot;
+    /// then those with the least work left, since that lets the most jobs meet their aims when not
+    /// all of them can.
     fn queue(&self, cx: &Ctx) -> Vec<JobIx> {
         let now = cx.now.steady;
         let mut queue: Vec<((u8, bool, i64), JobIx)> = self
@@ -180,12 +181,15 @@
             .iter()
             .filter(|(_, j)| j.waiting() > 0 && j.retry_at <= now)
             .map(|(ix, j)| {
+                if j.must_begin(now) {
+                    return ((0, false, j.age_base), ix);
+                }
                 let need = self.need(cx, j);
                 let feasible = j.target(cx, need).is_some();
                 let left = j.tasks().saturating_sub(j.done_count) as f64;
                 let run = self.stats.expected_run(&j.spec) as f64;
                 let work = (left * j.spec.vcpus * run) as i64;
-                ((3 - rank(j.spec.precedence), !feasible, work), ix)
+                ((4 - rank(j.spec.precedence), !feasible, work), ix)
             })
             .collect();
         queue.sort();
@@ -279,6 +283,10 @@
             let live: u32 = job.zones.values().sum();
             left = left.min(1u64.saturating_sub(live as u64));
         }
+        // Ahead of its turn a job only begins.
+        if job.must_begin(cx.now.steady) {
+            left = left.min(job.beginning());
+        }
         let spec = job.spec.clone();
         let in_quota = |used: (f64, f64), n: f64| {
             used.0 + spec.vcpus * n <= team.cpus_max + EPS
@@ -559,8 +567,11 @@
                 continue;
             };
             let ran = a.started.map_or(0, |at| now.saturating_sub(at));
-            // A start counts for an aim only if the task is left alone for 30 s.
-            let least_run = match cx.settings.starts_count(&job.spec.workclass) {
+            // A start counts for an aim only if the task is left alone for 30 s; and what a job
+            // begins with after a long wait stays.
+            let live: u32 = job.zones.values().sum();
+            let beginning = job.age(now) > BEGIN_AFTER && live as u64 <= job.beginning();
+            let least_run = match beginning || cx.settings.starts_count(&job.spec.workclass) {
                 true => 31 * SECOND,
                 false => 5 * SECOND,
             };
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -453,7 +453,7 @@
                         a.started = Some(now);
                     }
                     let (ix, seen) = (a.job, a.seen);
-                    self.count_running(ix, before, seen);
+                    self.count_running(now, ix, before, seen);
                 }
                 None if exited => self.exited_unknown(cx, name, job_id, task, s),
                 None => self.foreign(cx, report, job_id, task, s),
@@ -496,12 +496,15 @@
     }
 
     /// Counts a task of the job that began or ceased to run, as far as seen.
-    fn count_running(&mut self, ix: JobIx, before: Seen, now: Seen) {
+    fn count_running(&mut self, at: Micros, ix: JobIx, before: Seen, now: Seen) {
         let (was, is) = (before == Seen::Running, now == Seen::Running);
         if was == is {
             return;
         }
         if let Some(job) = self.jobs.get_mut(ix) {
+            if is && job.began_at.is_none() {
+                job.began_at = Some(job.age(at));
+            }
             job.running = match is {
                 true => job.running + 1,
                 false => job.running.saturating_sub(1),
@@ -518,9 +521,10 @@
         let used = self.usage.entry(a.team.clone()).or_insert((0.0, 0.0));
         *used = (used.0 + a.cpus, used.1 + a.gpus);
         let (ix, seen) = (a.job, a.seen);
+        let at = a.decided;
         m.assignments.push(a);
         m.recount();
-        self.count_running(ix, Seen::Never, seen);
+        self.count_running(at, ix, Seen::Never, seen);
     }
 
     /// Notes that a task is done; the result says when that is durable.
@@ -681,7 +685,7 @@
         if let Some(used) = self.usage.get_mut(&a.team) {
             *used = (used.0 - a.cpus, used.1 - a.gpus);
         }
-        self.count_running(a.job, a.seen, Seen::Never);
+        self.count_running(now, a.job, a.seen, Seen::Never);
         self.page_mut(a.page).remove(name, &a);
         self.ledger.touch_by(Rec::Page(a.page), now + FREE_DELAY);
         if let Some(job) = self.jobs.get_mut(a.job) {
--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -14,6 +14,8 @@
 //! ```text
 //! at 5  submit JOB tasks=4 cpus=2 [owner= prec= run= due= saves=yes flush= fails=yes zone= type=
 //!       spot=no one_zone=yes spread=yes shape=]
+//! every 6 from 1 to 90 submit JOB ...       such a job every 6 s: JOB001, JOB002, ...
+//! at 5  begun JOB                           a task of it came onto a machine
 //! at 5  cancel JOB
 //! at 5  expect JOB STATUS                   a poll at every node that is up gives this status
 //! at 5  starts JOB N                        its tasks came onto machines N times so far
@@ -122,6 +124,20 @@
                 line.words.drain(..2);
                 script.events.push((at, line));
             }
+            Some("every") => {
+                let every = seconds(line.word(1)?, number)?.max(1);
+                let (from, to) = (
+                    seconds(line.word(3)?, number)?,
+                    seconds(line.word(5)?, number)?,
+                );
+                line.words.drain(..6);
+                let job = line.word(1)?.to_string();
+                for (k, at) in (from..to).step_by(every as usize).enumerate() {
+                    let mut one = line.clone();
+                    one.words[1] = format!("{job}{k:03}");
+                    script.events.push((at, one));
+                }
+            }
             Some("end") => script.end = seconds(line.word(1)?, number)?,
             Some(_) => script.setup.push(line),
         }
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -1125,6 +1125,11 @@
                     return Err(format!("{got} starts, not {wanted}"));
                 }
             }
+            "begun" => {
+                if self.jobs.get(line.word(1)?).is_none_or(|j| j.starts == 0) {
+                    return Err("it has not begun".into());
+                }
+            }
             "leaders" => {
                 let got = (0..self.slots.len()).filter(|n| self.leads(*n)).count();
                 if got.to_string() != line.word(1)? {
