--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -4,7 +4,7 @@
 //! the free room allow. It has a time budget: a round that runs out of it goes on with the next
 //! job the next time.
 
-use crate::jobs::{fits_type, rank, Job, JobIx, Shape, BEGIN_AFTER, EPS};
+use crate::jobs::{fits_type, Job, JobIx, Shape, BEGIN_AFTER, EPS};
 use crate::leadership::Lead;
 use crate::ledger::Rec;
 use crate::node::Ctx;
@@ -13,7 +13,7 @@
 use grebewood_wire::http::{Precedence, Submission};
 use grebewood_wire::records::{MachineAssignments, PageRecord};
 use log::debug;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A page of assignments: which machines are on it, and how large it is.
 #[derive(Clone, Debug, Default)]
@@ -170,12 +170,41 @@
         (run as f64 * rounds) as Micros
     }
 
+    /// Jobs within their team's guarantee: those that fit into it together with the team's earlier
+    /// jobs, as far as these are unfinished. They need not wait for other teams.
+    fn within_guarantee(&self, cx: &Ctx) -> BTreeSet<JobIx> {
+        let mut by_age: Vec<(i64, JobIx, &Job)> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.cancelled.is_none() && j.ending.is_none())
+            .map(|(ix, j)| (j.age_base, ix, j))
+            .collect();
+        by_age.sort_by_key(|(age, ix, _)| (*age, *ix));
+        let mut sums: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
+        let mut within = BTreeSet::new();
+        for (_, ix, j) in by_age {
+            let Some(team) = cx.settings.teams.get(&j.spec.owner) else {
+                continue;
+            };
+            let left = j.tasks().saturating_sub(j.done_count) as f64;
+            let sum = sums.entry(&j.spec.owner).or_insert((0.0, 0.0));
+            sum.0 += left * j.spec.vcpus;
+            sum.1 += left * j.spec.accelerators;
+            if sum.0 <= team.cpus + EPS && sum.1 <= team.gpus + EPS {
+                within.insert(ix);
+            }
+        }
+        within
+    }
+
     /// The order in which waiting jobs are served: first the beginning of jobs that have waited
-    /// long for one; then by priority; those that can still meet an aim before those that cannot;
+    /// long for one; then by priority, with those within their team's guarantee after the high
+    /// ones and before all others; those that can still meet an aim before those that cannot;
     /// then those with the least work left, since that lets the most jobs meet their aims when not
     /// all of them can.
     fn queue(&self, cx: &Ctx) -> Vec<JobIx> {
         let now = cx.now.steady;
+        let guaranteed = self.within_guarantee(cx);
         let mut queue: Vec<((u8, bool, i64), JobIx)> = self
             .jobs
             .iter()
@@ -189,7 +218,14 @@
                 let left = j.tasks().saturating_sub(j.done_count) as f64;
                 let run = self.stats.expected_run(&j.spec) as f64;
                 let work = (left * j.spec.vcpus * run) as i64;
-                ((4 - rank(j.spec.precedence), !feasible, work), ix)
+                let level = match j.spec.precedence {
+                    Precedence::Prod => 1,
+                    Precedence::High => 2,
+                    _ if guaranteed.contains(&ix) => 3,
+                    Precedence::Normal => 4,
+                    Precedence::Idle => 5,
+                };
+                ((level, !feasible, work), ix)
             })
             .collect();
         queue.sort();
