--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -30,6 +30,8 @@
     Release { machines: Vec<String> },
 }
 
+/// Beyond one, this part of the machines may be emptied at a time.
+const EMPTIED_PART: usize = 20;
 /// Most names in one release.
 const RELEASE_MOST: usize = 100;
 /// Most machines in one rental request.
@@ -1082,17 +1084,21 @@
         }
     }
 
-    /// Empties one machine whose tasks have room elsewhere while nothing waits, so that it can be
+    /// Empties machines whose tasks have room elsewhere while nothing waits for room, so that they can be
     /// returned: tasks that can save move, the others run to their end. Ordinary machines
     /// go first, then the emptiest. A machine's worth of room is left over for what comes next.
     fn consolidate(&mut self, cx: &mut Ctx) {
         let now = cx.now.steady;
-        let emptying = self
-            .machines
-            .values()
-            .any(|m| m.closing && !m.assignments.is_empty());
-        let waits = self.jobs.iter().any(|(_, j)| j.waiting() > 0);
-        if emptying || waits || now.saturating_sub(self.loaded_at) < cx.tuning.idle_hold_us {
+        // Tasks that wait for their team's limit need no room.
+        let waits = self.jobs.iter().any(|(_, j)| {
+            let used = self.usage.get(&j.spec.owner).copied().unwrap_or((0.0, 0.0));
+            j.waiting() > 0
+                && cx.settings.teams.get(&j.spec.owner).is_some_and(|t| {
+                    used.0 + j.spec.vcpus <= t.cpus_max + EPS
+                        && used.1 + j.spec.accelerators <= t.gpus_max + EPS
+                })
+        });
+        if waits || now.saturating_sub(self.loaded_at) < cx.tuning.idle_hold_us {
             return;
         }
         let silence = cx.settings.report * 3;
@@ -1101,30 +1107,40 @@
             .values()
             .filter(|m| m.usable(now, silence))
             .collect();
-        let free: f64 = usable.iter().map(|m| m.free().0).sum();
+        // A few at a time, as the fleet's size has it.
+        let emptying = |m: &&Machine| m.closing && !m.assignments.is_empty();
+        let most = 1 + usable.len() / EMPTIED_PART;
+        let most = most.saturating_sub(self.machines.values().filter(emptying).count());
+        let mut free: f64 = usable.iter().map(|m| m.free().0).sum();
         let mut candidates: Vec<(bool, i64, &Machine)> = usable
             .iter()
             .filter(|m| !m.assignments.is_empty() && m.free().0 > m.cpus * 0.25)
-            .filter(|m| free - m.free().0 >= 2.0 * m.cpus - m.free().0)
             .map(|m| (m.spot, -(m.free().0 * 1e3) as i64, *m))
             .collect();
         candidates.sort_by(|a, b| (a.0, a.1, &a.2.name).cmp(&(b.0, b.1, &b.2.name)));
-        let mut chosen = None;
-        // Only the best few are tried: the rest comes next time.
-        for (_, _, m) in candidates.into_iter().take(8) {
+        let mut rooms: Vec<(&Machine, (f64, f64, f64))> = usable
+            .iter()
+            .filter(|o| o.free().0 > EPS)
+            .map(|o| (*o, o.free()))
+            .collect();
+        let mut chosen = Vec::new();
+        // Only the best are tried: the rest comes next time.
+        for (_, _, m) in candidates.into_iter().take(8 * most) {
+            if chosen.len() >= most || free < 2.0 * m.cpus {
+                break;
+            }
+            let before = rooms.clone();
+            rooms.retain(|(o, _)| o.name != m.name);
             let mut stops = Vec::new();
-            let mut rooms: Vec<(&Machine, (f64, f64, f64))> = usable
-                .iter()
-                .filter(|o| o.free().0 > EPS && o.name != m.name && (o.spot || !m.spot))
-                .map(|o| (*o, o.free()))
-                .collect();
             let fits = m.assignments.iter().all(|a| {
                 let Some(job) = self.jobs.get(a.job) else {
                     return true;
                 };
                 let spec = &job.spec;
                 let place = rooms.iter_mut().find(|(o, r)| {
-                    slots(*r, spec) > 0 && permits(cx, spec, &o.machine_type, &o.zone, o.spot)
+                    (o.spot || !m.spot)
+                        && slots(*r, spec) > 0
+                        && permits(cx, spec, &o.machine_type, &o.zone, o.spot)
                 });
                 let Some((_, r)) = place else { return false };
                 *r = (r.0 - a.cpus, r.1 - a.gpus, r.2 - a.memory);
@@ -1135,17 +1151,20 @@
             });
             // Without a task to move it would empty as soon by itself.
             if fits && !stops.is_empty() {
-                chosen = Some((m.name.clone(), stops));
-                break;
+                free -= m.cpus;
+                chosen.push((m.name.clone(), stops));
+            } else {
+                rooms = before;
             }
         }
-        let Some((name, stops)) = chosen else { return };
-        info!("{name}: being emptied, {} tasks move", stops.len());
-        if let Some(m) = self.machines.get_mut(&name) {
-            m.closing = true;
-        }
-        for (attempt, leeway) in stops {
-            self.stop_on(cx, &name, leeway, |a| a.attempt == attempt);
+        for (name, stops) in chosen {
+            info!("{name}: being emptied, {} tasks move", stops.len());
+            if let Some(m) = self.machines.get_mut(&name) {
+                m.closing = true;
+            }
+            for (attempt, leeway) in stops {
+                self.stop_on(cx, &name, leeway, |a| a.attempt == attempt);
+            }
         }
     }
 }
