--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -499,6 +499,7 @@
                 && j.errors < 3
                 && j.waiting() > 0
                 && waited >= cx.tuning.preempt_after_us
+                && j.target(cx, self.need(cx, j)).is_some()
         };
         let queue: Vec<JobIx> = queue
             .iter()
