--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1090,14 +1090,10 @@
     fn consolidate(&mut self, cx: &mut Ctx) {
         let now = cx.now.steady;
         // Tasks that wait for their team's limit need no room.
-        let waits = self.jobs.iter().any(|(_, j)| {
-            let used = self.usage.get(&j.spec.owner).copied().unwrap_or((0.0, 0.0));
-            j.waiting() > 0
-                && cx.settings.teams.get(&j.spec.owner).is_some_and(|t| {
-                    used.0 + j.spec.vcpus <= t.cpus_max + EPS
-                        && used.1 + j.spec.accelerators <= t.gpus_max + EPS
-                })
-        });
+        let waits = self
+            .jobs
+            .iter()
+            .any(|(ix, j)| j.waiting() > 0 && self.has_quota(cx, ix));
         if waits || now.saturating_sub(self.loaded_at) < cx.tuning.idle_hold_us {
             return;
         }
