--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -97,13 +97,6 @@
     kept: bool,
 }
 
-/// Jobs of one class have about the same right to room: their level, and whether they are late
-/// for every aim.
-type Class = (u8, bool);
-
-/// How many jobs of one class look for machines with their images together.
-const PEERS: usize = 4;
-
 /// Use of a team: CPUs and accelerators.
 pub type Usage = BTreeMap<String, (f64, f64)>;
 
@@ -209,16 +202,16 @@
     /// ones and before all others; those that can still meet an aim before those that cannot;
     /// then those with the least work left, since that lets the most jobs meet their aims when not
     /// all of them can.
-    fn queue(&self, cx: &Ctx) -> Vec<(Class, JobIx)> {
+    fn queue(&self, cx: &Ctx) -> Vec<JobIx> {
         let now = cx.now.steady;
         let guaranteed = self.within_guarantee(cx);
-        let mut queue: Vec<(Class, i64, JobIx)> = self
+        let mut queue: Vec<((u8, bool, i64), JobIx)> = self
             .jobs
             .iter()
             .filter(|(_, j)| j.waiting() > 0 && j.retry_at <= now)
             .map(|(ix, j)| {
                 if j.must_begin(now) {
-                    return ((0, false), j.age_base, ix);
+                    return ((0, false, j.age_base), ix);
                 }
                 let need = self.need(cx, j);
                 let feasible = j.target(cx, need).is_some();
@@ -232,14 +225,11 @@
                     Precedence::Normal => 4,
                     Precedence::Idle => 5,
                 };
-                ((level, !feasible), work, ix)
+                ((level, !feasible, work), ix)
             })
             .collect();
         queue.sort();
-        queue
-            .into_iter()
-            .map(|(class, _, ix)| (class, ix))
-            .collect()
+        queue.into_iter().map(|(_, ix)| ix).collect()
     }
 
     pub(crate) fn run_placement(&mut self, cx: &mut Ctx, watch: &mut dyn Stopwatch) {
@@ -262,33 +252,23 @@
         let queue = self.queue(cx);
         let mut open = self.open_machines(cx);
         let mut order = queue.clone();
-        order.retain(|(_, ix)| self.has_quota(cx, *ix));
+        order.retain(|ix| self.has_quota(cx, *ix));
         if let Some(from) = self.placement.resume.take() {
-            if let Some(at) = order.iter().position(|(_, ix)| *ix == from) {
+            if let Some(at) = order.iter().position(|ix| *ix == from) {
                 order.rotate_left(at);
             }
         }
-        'round: for few in order
-            .chunk_by(|a, b| a.0 == b.0)
-            .flat_map(|c| c.chunks(PEERS))
-        {
-            // Of a few jobs of about the same right, each takes machines that have its image
-            // before any takes those that would have to fetch it.
-            for only_cached in [true, false] {
-                for (_, ix) in few {
-                    if open.is_empty() {
-                        break 'round;
-                    }
-                    if watch.elapsed() > cx.tuning.placement_budget_us {
-                        self.placement.resume = Some(*ix);
-                        debug!("placement: out of time, goes on with the next round");
-                        break 'round;
-                    }
-                    self.place_job(cx, *ix, &mut open, only_cached);
-                }
+        for ix in order {
+            if open.is_empty() {
+                break;
+            }
+            if watch.elapsed() > cx.tuning.placement_budget_us {
+                self.placement.resume = Some(ix);
+                debug!("placement: out of time, goes on with the next round");
+                break;
             }
+            self.place_job(cx, ix, &mut open);
         }
-        let queue: Vec<JobIx> = queue.into_iter().map(|(_, ix)| ix).collect();
         self.placement.backlog = queue
             .iter()
             .any(|ix| self.jobs.get(*ix).is_some_and(|j| j.waiting() > 0));
@@ -329,8 +309,7 @@
     }
 
     /// Places as many tasks of a job as the team's limit and the machines allow.
-    /// `only_cached`: on machines that have the job's image.
-    fn place_job(&mut self, cx: &mut Ctx, ix: JobIx, open: &mut Vec<Open>, only_cached: bool) {
+    fn place_job(&mut self, cx: &mut Ctx, ix: JobIx, open: &mut Vec<Open>) {
         let Some(job) = self.jobs.get(ix) else { return };
         let Some(team) = cx.settings.teams.get(&job.spec.owner) else {
             return;
@@ -379,7 +358,6 @@
                     .is_some_and(|m| m.has_image(&spec.bundle));
                 ((!image, !o.spot, (o.free.0 * 1e3) as i64), at)
             })
-            .filter(|((fetches, _, _), _)| !only_cached || !fetches)
             .collect();
         candidates.sort();
         let fixed_zone = self.fixed_zone(ix, &spec, &candidates, open);
