--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -790,7 +790,7 @@
         let silence = cx.settings.report * 3;
         let mut by_offer: BTreeMap<(&str, &str, bool), Supply> = BTreeMap::new();
         for m in self.machines.values() {
-            if !m.usable(now, silence) || m.cpus <= 0.0 {
+            if !m.counts(now, silence) || m.cpus <= 0.0 {
                 continue;
             }
             let s = by_offer
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -212,8 +212,15 @@
 
     /// Whether new tasks may be placed here.
     pub fn usable(&self, now: Micros, silence: Micros) -> bool {
+        self.hears && self.counts(now, silence)
+    }
+
+    /// Whether the decider counts on it: also while it has yet to show that our answers reach it.
+    /// A new leader, for whom that is all machines, once rented a second fleet meanwhile.
+    pub fn counts(&self, now: Micros, silence: Micros) -> bool {
+        let doubtful = self.deaf_since.map_or(0, |at| now.saturating_sub(at));
         !self.closing
-            && self.hears
+            && doubtful <= ANSWER_TIME
             && self.recall_at.is_none()
             && self.tenure > 0
             && self.shy_until <= now
