--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -206,6 +206,12 @@
     d_booting: f64,
 }
 
+impl Work<'_> {
+    fn is_batch(&self) -> bool {
+        Shape::of(self.spec) == Some(Shape::Batch)
+    }
+}
+
 /// Tasks of each work that a machine can finish in time: the paper's `P`, times the slots.
 /// `delay` is what remains of a boot, in seconds, for a machine that is not up.
 fn power(work: &[Work], total: f64, delay: Option<f64>, slots: impl Fn(usize) -> f64) -> Vec<f64> {
@@ -829,7 +835,12 @@
             };
             // Room that is free now counts whole, room freed within `d` by the part of `d` left.
             add(power(work, total, None, |i| {
-                slots_of(build, &s.offer.1, s.offer.2, work[i].spec) * s.free_within(work[i].d)
+                // What needs its slots now does not wait for others to end.
+                let within = match work[i].is_batch() {
+                    true => work[i].d,
+                    false => 0.0,
+                };
+                slots_of(build, &s.offer.1, s.offer.2, work[i].spec) * s.free_within(within)
             }));
         }
         for b in self.fleet.boots.values() {
@@ -995,9 +1006,12 @@
                     .zip(&work)
                     .map(|((p, g), w)| p.min(*g) * w.t)
                     .sum();
-                // Work that no machine can take gets one however little it fills.
-                let stranded = (0..work.len())
-                    .any(|i| have[i] <= EPS && p[i] > 0.0 && gap[i] >= work[i].n - EPS);
+                // Work that no machine can take gets one however little it fills, and so do tasks
+                // that each need a slot now: a gang that lacked one slot once waited for good.
+                let stranded = (0..work.len()).any(|i| match work[i].is_batch() {
+                    true => have[i] <= EPS && p[i] > 0.0 && gap[i] >= work[i].n - EPS,
+                    false => gap[i] > EPS && p[i] > 0.0,
+                });
                 if closes <= 0.0 || (!stranded && closes < can * cx.tuning.rent_threshold) {
                     continue;
                 }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -217,7 +217,11 @@
                 let feasible = j.target(cx, need).is_some();
                 let left = j.tasks().saturating_sub(j.done_count) as f64;
                 let run = self.stats.expected_run(&j.spec) as f64;
-                let work = (left * j.spec.vcpus * run) as i64;
+                // What needs its slots at once comes before what fills them one by one.
+                let work = match Shape::of(&j.spec) {
+                    Some(Shape::Batch) => (left * j.spec.vcpus * run) as i64,
+                    _ => 0,
+                };
                 let level = match j.spec.precedence {
                     Precedence::Prod => 1,
                     Precedence::High => 2,
