--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -13,7 +13,7 @@
 //!
 //! ```text
 //! at 5  submit JOB tasks=4 cpus=2 [owner= prec= run= due= saves=yes flush= fails=yes zone= type=
-//!       spot=no one_zone=yes spread=yes shape=]
+//!       spot=no one_zone=yes spread=yes shape= class=]
 //! every 6 from 1 to 90 submit JOB ...       such a job every 6 s: JOB001, JOB002, ...
 //! at 5  begun JOB                           a task of it came onto a machine
 //! at 5  cancel JOB
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -1279,7 +1279,7 @@
         let saves = line.yes("saves", false);
         let spec = Submission {
             uid: job.into(),
-            workclass: "work".into(),
+            workclass: line.text("class", "work"),
             owner: line.text("owner", "t"),
             shape: line.text("shape", "batch"),
             precedence,
