--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -61,6 +61,11 @@
 }
 
 impl Assignment {
+    /// Whether an earlier leader launched it, as far as known.
+    pub fn recovered(&self) -> bool {
+        self.launched == Some((0, 0))
+    }
+
     /// Whether the worker may have it.
     pub fn may_exist(&self) -> bool {
         self.launched.is_some()
@@ -503,7 +508,9 @@
                         _ => Seen::Fetching,
                     };
                     if a.seen == Seen::Running && a.started.is_none() {
-                        a.started = Some(now);
+                        // When a task of an earlier leader began is not known: halfway, say.
+                        let ran = if a.recovered() { a.expected / 2 } else { 0 };
+                        a.started = Some(now.saturating_sub(ran));
                     }
                     let (ix, seen) = (a.job, a.seen);
                     self.count_running(now, ix, before, seen);
@@ -537,7 +544,7 @@
                 && !listed(&format!("{}/{}", a.job_id, a.task), a.attempt);
             if !absent {
                 at += 1;
-            } else if a.seen == Seen::Never && a.stop.is_none() && a.launched != Some((0, 0)) {
+            } else if a.seen == Seen::Never && a.stop.is_none() && !a.recovered() {
                 // The answer with the launch was lost and is never carried out late: it may be
                 // sent again, under the same attempt, once answers arrive.
                 a.launched = None;
@@ -611,7 +618,8 @@
             ("done", Some(job)) => {
                 m.errors.clear();
                 job.errors = 0;
-                if let Some(started) = a.started {
+                // Only a run seen from its beginning says how long such tasks take.
+                if let (Some(started), false) = (a.started, a.recovered()) {
                     let run = now.saturating_sub(started);
                     self.stats.ran(&job.spec, &m.machine_type, run);
                     let (mean, n) = job.run_mean;
@@ -1117,3 +1125,69 @@
         leeway_s: Some(leeway as f64 / SECOND as f64),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn machine(now: Micros) -> Machine {
+        let report = Report {
+            perch: "n-000001".into(),
+            endpoint: "10.1.0.1:9000".into(),
+            build: "std".into(),
+            yard: "a".into(),
+            loaner: true,
+            tenure: 1,
+            tally: 1,
+            warrant: 0,
+            recall_s: None,
+            shards: Vec::new(),
+        };
+        let mut m = Machine::new(&report, None, now);
+        m.tenure = 1;
+        m
+    }
+
+    /// A new leader, to whom no machine has shown yet that it hears, once rented for work that
+    /// its machines covered.
+    #[test]
+    fn a_machine_that_has_yet_to_hear_counts_for_a_while_but_gets_no_work() {
+        let (now, silence) = (100 * SECOND, 5 * SECOND);
+        let mut m = machine(now);
+        m.deaf_since = Some(now - SECOND);
+        assert!(m.counts(now, silence) && !m.usable(now, silence));
+        m.deaf_since = Some(now - ANSWER_TIME - SECOND);
+        assert!(!m.counts(now, silence));
+        m.hears = true;
+        m.deaf_since = None;
+        assert!(m.usable(now, silence));
+    }
+
+    /// The runs of tasks that were taken over seemed short, and made all estimates too low.
+    #[test]
+    fn a_task_of_an_earlier_leader_is_known_as_such() {
+        let mut a = Assignment {
+            job: 0,
+            job_id: "req-1".into(),
+            task: 0,
+            attempt: 1,
+            tenure: 1,
+            page: 0,
+            written: 0,
+            cpus: 1.0,
+            gpus: 0.0,
+            memory: 1.0,
+            team: "t".into(),
+            zone: "a".into(),
+            launched: Some((0, 0)),
+            seen: Seen::Never,
+            decided: 0,
+            started: None,
+            expected: 20 * SECOND,
+            stop: None,
+        };
+        assert!(a.recovered());
+        a.launched = Some((1, 7));
+        assert!(!a.recovered());
+    }
+}
