--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -199,12 +199,15 @@
 
     /// The order in which waiting jobs are served: first the beginning of jobs that have waited
     /// long for one; then by priority, with those within their team's guarantee after the high
-    /// ones and before all others; those that can still meet an aim before those that cannot;
+    /// ones and before all others, where an aim counts how soon they start; those that can still meet an aim before those that cannot;
     /// then those with the least work left, since that lets the most jobs meet their aims when not
     /// all of them can.
     fn queue(&self, cx: &Ctx) -> Vec<JobIx> {
         let now = cx.now.steady;
-        let guaranteed = self.within_guarantee(cx);
+        let guaranteed = match cx.settings.guarantees_count() {
+            true => self.within_guarantee(cx),
+            false => BTreeSet::new(),
+        };
         let mut queue: Vec<((u8, bool, i64), JobIx)> = self
             .jobs
             .iter()
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -48,6 +48,11 @@
 }
 
 impl Settings {
+    /// Whether an aim counts how soon work within a guarantee starts.
+    pub fn guarantees_count(&self) -> bool {
+        self.objectives.iter().any(|o| o.kind == "guarantee")
+    }
+
     /// Whether an aim counts how soon tasks of the class start.
     pub fn starts_count(&self, class: &str) -> bool {
         self.objectives
