--- a/crates/core/src/fleet/decider.rs
+++ b/crates/core/src/fleet/decider.rs
@@ -382,10 +382,28 @@
                 }
             }
         }
+        // Seconds that all waiting work would take one machine.
+        let backlog: f64 = work
+            .iter()
+            .map(|w| {
+                let slots = catalogue
+                    .iter()
+                    .filter(|t| fits_type(w.spec, t))
+                    .map(|t| slots((t.vcpus, t.accelerators, t.memory_gb), w.spec) as f64)
+                    .fold(1.0, f64::max);
+                w.n * w.t / slots
+            })
+            .sum();
+        let ready: f64 = supply.iter().map(|s| s.machines).sum();
+        let bound = cx.tuning.backlog_us as f64 / 1e6;
         let planned: u64 = plan.values().sum();
         let fleet = self.machines.len() + self.fleet.booting() + planned as usize;
         let room = (cx.tuning.fleet_max as usize).saturating_sub(fleet);
-        for _ in 0..room.min(200) {
+        for added in 0..room.min(200) {
+            // Far deadlines let power cover any work on paper: a few machines once worked off a
+            // growing queue for a whole day.
+            let machines = ready + (self.fleet.booting() + planned as usize + added) as f64;
+            let piles_up = backlog > machines * bound;
             let mut best: Option<(f64, usize)> = None;
             for (at, (price, offer, p)) in offers.iter().enumerate() {
                 if plan.get(offer).is_some_and(|n| *n >= RENT_ROUND) {
@@ -405,7 +423,11 @@
                     true => have[i] <= EPS && p[i] > 0.0 && gap[i] >= work[i].n - EPS,
                     false => gap[i] > EPS && p[i] > 0.0,
                 });
-                if closes <= 0.0 || (!stranded && closes < can * cx.tuning.rent_threshold) {
+                let closes = if piles_up { closes.max(EPS) } else { closes };
+                if can <= 0.0
+                    || closes <= 0.0
+                    || (!stranded && !piles_up && closes < can * cx.tuning.rent_threshold)
+                {
                     continue;
                 }
                 let cost = price / closes;
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -129,6 +129,9 @@
     least_rounds: f64 = 1.0, 0.5, 10.0;
     /// Part of a machine that the unmet work must fill before one more is rented.
     rent_threshold: f64 = 0.3, 0.0, 1.0;
+    /// Longest time that the waiting work may take all machines, however late it may be finished,
+    /// in microseconds; beyond it more are rented.
+    backlog_us: u64 = 240 * SECOND, SECOND, 86_400 * SECOND;
     /// What the risk of losing a spot machine adds to its price, as a factor.
     spot_risk: f64 = 1.25, 1.0, 10.0;
     /// How late a boot may be, as a multiple of the average, before it counts as overdue.
