--- /dev/null
+++ b/crates/core/src/fleet/decider.rs
@@ -0,0 +1,573 @@
+//! The decider: what to rent, what to return, what to empty.
+//!
+//! It is that of the paper as changed by `DESIGN-grebewood.md`. A ready machine adds,
+//! for a job with `n` waiting tasks of run time `t` and time `D` to its deadline,
+//! `D * n / sum(n * t)` tasks, times the tasks that fit into its room; a booting machine uses `D`
+//! less its remaining boot delay, floored at zero. If work exceeds power, machines are added
+//! greedily by price per unit of the gap they close.
+
+use super::*;
+
+/// Beyond one, this part of the machines may be emptied at a time.
+const EMPTIED_PART: usize = 20;
+/// Most machines in one rental request.
+const RENT_MOST: u64 = 50;
+/// Most machines of one offer in one round of the decider.
+const RENT_ROUND: u64 = 2 * RENT_MOST;
+
+/// Work that waits: one job's tasks.
+struct Work<'a> {
+    spec: &'a Submission,
+    /// Waiting tasks.
+    n: f64,
+    /// Run time of a task, with its fetch, in seconds.
+    t: f64,
+    /// Time to finish in, in seconds.
+    d: f64,
+    /// The same for machines that are not up yet: at least a boot and a run, since less cannot
+    /// be met by anything that is rented now.
+    d_booting: f64,
+}
+
+impl Work<'_> {
+    fn is_batch(&self) -> bool {
+        Shape::of(self.spec) == Some(Shape::Batch)
+    }
+}
+
+/// Tasks of each work that a machine can finish in time: the paper's `P`, times the slots.
+/// `delay` is what remains of a boot, in seconds, for a machine that is not up.
+fn power(work: &[Work], total: f64, delay: Option<f64>, slots: impl Fn(usize) -> f64) -> Vec<f64> {
+    work.iter()
+        .enumerate()
+        .map(|(i, w)| {
+            let d = match delay {
+                None => w.d,
+                Some(delay) => (w.d_booting - delay).max(0.0),
+            };
+            if total <= 0.0 {
+                0.0
+            } else {
+                d * w.n / total * slots(i)
+            }
+        })
+        .collect()
+}
+
+/// Machines of one offer that are up, with what is taken of them.
+struct Supply {
+    offer: Offer,
+    machines: f64,
+    /// Tasks by the time they still take, in seconds: that time, the part of a machine that the
+    /// task takes, and the sum of both's products up to this one.
+    taken: Vec<(f64, f64, f64)>,
+}
+
+impl Supply {
+    fn sum_up(&mut self) {
+        self.taken.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut sum = 0.0;
+        for (left, part, so_far) in &mut self.taken {
+            sum += *left * *part;
+            *so_far = sum;
+        }
+        // What is left of the parts from each task on is needed as often as the products.
+        let mut parts = 0.0;
+        for (_, part, _) in self.taken.iter_mut().rev() {
+            parts += *part;
+            *part = parts;
+        }
+    }
+
+    /// Machines' worth of room within `d` seconds: a task that ends before leaves its room for
+    /// the rest of the time.
+    fn free_within(&self, d: f64) -> f64 {
+        let at = self.taken.partition_point(|(left, _, _)| *left < d);
+        let ending = match at {
+            0 => 0.0,
+            _ => self.taken[at - 1].2 / d.max(EPS),
+        };
+        let staying = self.taken.get(at).map_or(0.0, |(_, parts, _)| *parts);
+        (self.machines - ending - staying).max(0.0)
+    }
+}
+
+/// How many tasks fit an empty machine of the type; 0 if the job does not permit it.
+fn slots_of(t: &MachineType, zone: &str, spot: bool, spec: &Submission) -> f64 {
+    let permitted = (spec.loaner || !spot)
+        && spec.yard.as_ref().is_none_or(|y| y == zone)
+        && fits_type(spec, t);
+    if permitted {
+        slots((t.vcpus, t.accelerators, t.memory_gb), spec) as f64
+    } else {
+        0.0
+    }
+}
+
+impl Lead {
+    /// The work that waits, job by job; with `haste` as it is planned for cheap machines.
+    fn waiting_work<'a>(&'a self, cx: &Ctx, haste: bool) -> Vec<Work<'a>> {
+        let now = cx.now.steady;
+        let (share, late) = match haste {
+            true => (
+                cx.tuning.deadline_share_cheap,
+                cx.tuning.late_deadline_cheap_us,
+            ),
+            false => (cx.tuning.deadline_share, cx.tuning.late_deadline_us),
+        };
+        let boot = cx
+            .catalogue
+            .iter()
+            .flatten()
+            .map(|t| self.stats.boot_time(&t.name, micros(t.startup_s)))
+            .min()
+            .unwrap_or(30 * SECOND);
+        let mut planned: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
+        let mut work = Vec::new();
+        for (_, j) in self.jobs.iter() {
+            if j.waiting() == 0 || j.errors >= 3 {
+                continue;
+            }
+            let Some(team) = cx.settings.teams.get(&j.spec.owner) else {
+                continue;
+            };
+            let fetch = cx
+                .catalogue
+                .iter()
+                .flatten()
+                .filter(|t| fits_type(&j.spec, t))
+                .map(|t| micros(j.spec.pull_gb / t.fetch_gb_per_s.unwrap_or(1.0).max(1e-3)))
+                .min()
+                .unwrap_or(0);
+            let run = self.stats.expected_run(&j.spec);
+            let t = (run + fetch) as f64 / 1e6;
+            // What is late for every aim may take longer: it gains nothing by dear machines.
+            let left = match j.target(cx, self.need(cx, j)) {
+                Some(at) => (at - now as i64).max(0) as f64 / 1e6 * share,
+                None => late as f64 / 1e6,
+            };
+            let d = left.max(t * cx.tuning.least_rounds);
+            let d_booting = d.max(boot as f64 / 1e6 + t);
+            // Waiting tasks of other shapes need a slot each, now.
+            let t = match Shape::of(&j.spec) {
+                Some(Shape::Batch) => t,
+                _ => d,
+            };
+            // The team's limit bounds what can run within `d`, whatever is rented.
+            let used = self.usage.get(&j.spec.owner).copied().unwrap_or((0.0, 0.0));
+            let plan = planned.entry(&j.spec.owner).or_insert((0.0, 0.0));
+            let rounds = (d / t).max(1.0);
+            let room = |max: f64, used: f64, planned: f64, need: f64| {
+                if need <= EPS {
+                    f64::MAX
+                } else {
+                    ((max * rounds - used - planned) / need).max(0.0)
+                }
+            };
+            let n = (j.waiting() as f64)
+                .min(room(team.cpus_max, used.0, plan.0, j.spec.vcpus))
+                .min(room(team.gpus_max, used.1, plan.1, j.spec.accelerators));
+            if n < 0.5 {
+                continue;
+            }
+            plan.0 += n * j.spec.vcpus;
+            plan.1 += n * j.spec.accelerators;
+            work.push(Work {
+                spec: &j.spec,
+                n,
+                t,
+                d,
+                d_booting,
+            });
+        }
+        work
+    }
+
+    /// The machines that are up, by offer, as the decider sees them.
+    fn supply(&self, cx: &Ctx) -> Vec<Supply> {
+        let now = cx.now.steady;
+        let silence = cx.settings.report * 3;
+        let mut by_offer: BTreeMap<(&str, &str, bool), Supply> = BTreeMap::new();
+        for m in self.machines.values() {
+            if !m.counts(now, silence) || m.cpus <= 0.0 {
+                continue;
+            }
+            let s = by_offer
+                .entry((&m.machine_type, &m.zone, m.spot))
+                .or_insert_with(|| Supply {
+                    offer: (m.machine_type.clone(), m.zone.clone(), m.spot),
+                    machines: 0.0,
+                    taken: Vec::new(),
+                });
+            s.machines += 1.0;
+            for a in &m.assignments {
+                let part = (a.cpus / m.cpus).max(a.memory / m.memory.max(EPS));
+                s.taken.push((a.remaining(now, 0) as f64 / 1e6, part, 0.0));
+            }
+        }
+        let mut all: Vec<Supply> = by_offer.into_values().collect();
+        for s in &mut all {
+            s.sum_up();
+        }
+        all
+    }
+
+    /// Power of the machines that are up or booting.
+    fn power_of_fleet(&self, cx: &Ctx, supply: &[Supply], work: &[Work]) -> Vec<f64> {
+        let now = cx.now.steady;
+        let total: f64 = work.iter().map(|w| w.n * w.t).sum();
+        let mut sum = vec![0.0; work.len()];
+        let mut add = |p: Vec<f64>| {
+            for (s, p) in sum.iter_mut().zip(p) {
+                *s += p;
+            }
+        };
+        for s in supply {
+            let Some(build) = cx.machine_type(&s.offer.0) else {
+                continue;
+            };
+            // Room that is free now counts whole, room freed within `d` by the part of `d` left.
+            add(power(work, total, None, |i| {
+                // What needs its slots now does not wait for others to end.
+                let within = match work[i].is_batch() {
+                    true => work[i].d,
+                    false => 0.0,
+                };
+                slots_of(build, &s.offer.1, s.offer.2, work[i].spec) * s.free_within(within)
+            }));
+        }
+        for b in self.fleet.boots.values() {
+            let Some(build) = cx.machine_type(&b.machine_type) else {
+                continue;
+            };
+            let spent = now.saturating_sub(b.requested);
+            if !b.up && spent > self.overdue_after(cx, &b.machine_type) {
+                // Overdue boots lose their power and are replaced.
+                continue;
+            }
+            let boot = self
+                .stats
+                .boot_time(&b.machine_type, micros(build.startup_s));
+            let delay = match b.up {
+                true => 0.0,
+                false => boot.saturating_sub(spent) as f64 / 1e6,
+            };
+            add(power(work, total, Some(delay), |i| {
+                slots_of(build, &b.zone, b.spot, work[i].spec)
+            }));
+        }
+        for h in self.fleet.hires.values().filter(|h| h.unlisted.is_none()) {
+            let Some(build) = cx.machine_type(&h.record.machine_type) else {
+                continue;
+            };
+            let boot = self.stats.boot_time(&build.name, micros(build.startup_s));
+            add(power(work, total, Some(boot as f64 / 1e6), |i| {
+                h.record.number as f64
+                    * slots_of(build, &h.record.zone, h.record.spot, work[i].spec)
+            }));
+        }
+        sum
+    }
+
+    /// One round of the decider.
+    pub(super) fn decide(&mut self, cx: &mut Ctx) {
+        let now = cx.now.steady;
+        // Before the first list, machines of an earlier leader may be missing.
+        if !self.fleet.listed_once && now < self.fleet.started + 10 * SECOND {
+            return;
+        }
+        let Some(catalogue) = cx.catalogue.clone() else {
+            return;
+        };
+        // Cheap machines do the work for the same money however many share it, so they are
+        // rented with haste; the others only for what those do not cover in a longer time.
+        let mut plan = BTreeMap::new();
+        let supply = self.supply(cx);
+        self.plan(cx, &catalogue, &supply, true, &mut plan);
+        self.plan(cx, &catalogue, &supply, false, &mut plan);
+        let requests = plan.into_iter().flat_map(|(offer, number): (Offer, u64)| {
+            (0..number.div_ceil(RENT_MOST))
+                .map(move |k| (offer.clone(), (number - k * RENT_MOST).min(RENT_MOST)))
+        });
+        for ((machine_type, zone, spot), number) in requests {
+            self.fleet.counter += 1;
+            let name = format!("h-{}-{}", self.token, self.fleet.counter);
+            info!("{name}: renting {number} of {machine_type} in {zone}, spot {spot}");
+            let hire = Hire {
+                record: HireRecord {
+                    machine_type,
+                    zone,
+                    spot,
+                    number,
+                    requested_us: cx.now.wall,
+                },
+                requested: now,
+                written: false,
+                asking: false,
+                retry_at: now,
+                unlisted: None,
+            };
+            self.fleet.hires.insert(name.clone(), hire);
+            // The record is durable before the request goes out.
+            self.ledger.touch(Rec::Hire(name), now);
+        }
+    }
+
+    /// Adds machines to the plan while the work exceeds the power, by price per unit of the gap.
+    /// With `haste`, only offers that are about as cheap as the cheapest.
+    fn plan(
+        &self,
+        cx: &Ctx,
+        catalogue: &[MachineType],
+        supply: &[Supply],
+        haste: bool,
+        plan: &mut BTreeMap<Offer, u64>,
+    ) {
+        let now = cx.now.steady;
+        let work = self.waiting_work(cx, haste);
+        if work.is_empty() {
+            return;
+        }
+        let total: f64 = work.iter().map(|w| w.n * w.t).sum();
+        let power_of = |t: &MachineType, zone: &str, spot: bool| {
+            let boot = self.stats.boot_time(&t.name, micros(t.startup_s)) as f64 / 1e6;
+            power(&work, total, Some(boot), |i| {
+                slots_of(t, zone, spot, work[i].spec)
+            })
+        };
+        let mut have = self.power_of_fleet(cx, supply, &work);
+        for ((name, zone, spot), number) in plan.iter() {
+            if let Some(t) = catalogue.iter().find(|t| t.name == *name) {
+                for (h, p) in have.iter_mut().zip(power_of(t, zone, *spot)) {
+                    *h += p * *number as f64;
+                }
+            }
+        }
+        let mut gap: Vec<f64> = work
+            .iter()
+            .zip(&have)
+            .map(|(w, p)| (w.n - p).max(0.0))
+            .collect();
+        let mut offers: Vec<(f64, Offer, Vec<f64>)> = Vec::new();
+        let per_cpu = |t: &MachineType, price: f64| price / t.vcpus.max(EPS);
+        let cheapest = catalogue
+            .iter()
+            .map(|t| per_cpu(t, t.spot_price.unwrap_or(t.price).min(t.price)))
+            .fold(f64::MAX, f64::min);
+        for t in catalogue {
+            for zone in &t.yards {
+                for spot in [true, false] {
+                    let price = match (spot, t.spot_price) {
+                        (true, Some(p)) => p,
+                        (true, None) => continue,
+                        (false, _) => t.price,
+                    };
+                    let offer = (t.name.clone(), zone.clone(), spot);
+                    let closed = self
+                        .fleet
+                        .unavailable
+                        .get(&offer)
+                        .is_some_and(|(until, _)| *until > now);
+                    let asked = self.fleet.hires.values().any(|h| {
+                        h.unlisted.is_none()
+                            && h.record.machine_type == offer.0
+                            && h.record.zone == offer.1
+                            && h.record.spot == offer.2
+                    });
+                    if closed || asked || (haste && per_cpu(t, price) > cheapest * 1.5) {
+                        continue;
+                    }
+                    let risk = if spot { cx.tuning.spot_risk } else { 1.0 };
+                    offers.push((price * risk, offer, power_of(t, zone, spot)));
+                }
+            }
+        }
+        let planned: u64 = plan.values().sum();
+        let fleet = self.machines.len() + self.fleet.booting() + planned as usize;
+        let room = (cx.tuning.fleet_max as usize).saturating_sub(fleet);
+        for _ in 0..room.min(200) {
+            let mut best: Option<(f64, usize)> = None;
+            for (at, (price, offer, p)) in offers.iter().enumerate() {
+                if plan.get(offer).is_some_and(|n| *n >= RENT_ROUND) {
+                    continue;
+                }
+                // Seconds of work that the machine can do, and those of them that are missing.
+                let can: f64 = p.iter().zip(&work).map(|(p, w)| p * w.t).sum();
+                let closes: f64 = p
+                    .iter()
+                    .zip(&gap)
+                    .zip(&work)
+                    .map(|((p, g), w)| p.min(*g) * w.t)
+                    .sum();
+                // Work that no machine can take gets one however little it fills, and so do tasks
+                // that each need a slot now: a gang that lacked one slot once waited for good.
+                let stranded = (0..work.len()).any(|i| match work[i].is_batch() {
+                    true => have[i] <= EPS && p[i] > 0.0 && gap[i] >= work[i].n - EPS,
+                    false => gap[i] > EPS && p[i] > 0.0,
+                });
+                if closes <= 0.0 || (!stranded && closes < can * cx.tuning.rent_threshold) {
+                    continue;
+                }
+                let cost = price / closes;
+                if best.is_none_or(|(c, _)| cost < c) {
+                    best = Some((cost, at));
+                }
+            }
+            let Some((_, at)) = best else { break };
+            let (_, offer, p) = &offers[at];
+            for (g, p) in gap.iter_mut().zip(p) {
+                *g = (*g - p).max(0.0);
+            }
+            *plan.entry(offer.clone()).or_insert(0) += 1;
+        }
+    }
+
+    /// Returns machines that have been idle for the hold, if the power without them covers the
+    /// work; and those that are closing, once they are empty.
+    pub(super) fn give_back(&mut self, cx: &mut Ctx) {
+        let now = cx.now.steady;
+        let mut release: Vec<String> = Vec::new();
+        let mut idle: Vec<(bool, Micros, String)> = Vec::new();
+        for m in self.machines.values() {
+            if !m.assignments.is_empty() || !m.reaps.is_empty() {
+                continue;
+            }
+            if m.closing || m.recall_at.is_some() {
+                release.push(m.name.clone());
+                continue;
+            }
+            let hold = match m.spot {
+                true => cx.tuning.idle_hold_us,
+                false => cx.tuning.idle_hold_ordinary_us,
+            };
+            if now.saturating_sub(m.idle_since) >= hold
+                && now.saturating_sub(self.loaded_at) >= hold
+            {
+                idle.push((m.spot, m.idle_since, m.name.clone()));
+            }
+        }
+        // Ordinary machines first: they cost more.
+        idle.sort();
+        let work = self.waiting_work(cx, false);
+        let total: f64 = work.iter().map(|w| w.n * w.t).sum();
+        let mut have = match idle.is_empty() {
+            true => Vec::new(),
+            false => self.power_of_fleet(cx, &self.supply(cx), &work),
+        };
+        let mut chosen = Vec::new();
+        for (_, _, name) in idle {
+            let Some(m) = self.machines.get(&name) else {
+                continue;
+            };
+            let Some(build) = cx.machine_type(&m.machine_type) else {
+                continue;
+            };
+            // An empty machine's power, as it is part of the fleet's.
+            let its = power(&work, total, None, |i| {
+                slots_of(build, &m.zone, m.spot, work[i].spec)
+            });
+            let covered = |((w, h), p): ((&Work, &f64), &f64)| h - p + EPS >= w.n;
+            if !work.iter().zip(&have).zip(&its).all(covered) {
+                break;
+            }
+            for (h, p) in have.iter_mut().zip(&its) {
+                *h -= p;
+            }
+            chosen.push(name);
+        }
+        drop(work);
+        for name in chosen {
+            info!("{name}: idle, returned");
+            if let Some(m) = self.machines.get_mut(&name) {
+                m.closing = true;
+            }
+            release.push(name);
+        }
+        for name in release {
+            if let Some(m) = self.machines.get_mut(&name) {
+                m.closing = true;
+            }
+            self.fleet.release(&name, now);
+        }
+    }
+
+    /// Empties machines whose tasks have room elsewhere while nothing waits for room, so that they can be
+    /// returned: tasks that can save move, the others run to their end. Ordinary machines
+    /// go first, then the emptiest. A machine's worth of room is left over for what comes next.
+    pub(super) fn consolidate(&mut self, cx: &mut Ctx) {
+        let now = cx.now.steady;
+        // Tasks that wait for their team's limit need no room.
+        let waits = self
+            .jobs
+            .iter()
+            .any(|(ix, j)| j.waiting() > 0 && self.has_quota(cx, ix));
+        if waits || now.saturating_sub(self.loaded_at) < cx.tuning.idle_hold_us {
+            return;
+        }
+        let silence = cx.settings.report * 3;
+        let usable: Vec<&Machine> = self
+            .machines
+            .values()
+            .filter(|m| m.usable(now, silence))
+            .collect();
+        // A few at a time, as the fleet's size has it.
+        let emptying = |m: &&Machine| m.closing && !m.assignments.is_empty();
+        let most = 1 + usable.len() / EMPTIED_PART;
+        let most = most.saturating_sub(self.machines.values().filter(emptying).count());
+        let mut free: f64 = usable.iter().map(|m| m.free().0).sum();
+        let mut candidates: Vec<(bool, i64, &Machine)> = usable
+            .iter()
+            .filter(|m| !m.assignments.is_empty() && m.free().0 > m.cpus * 0.25)
+            .map(|m| (m.spot, -(m.free().0 * 1e3) as i64, *m))
+            .collect();
+        candidates.sort_by(|a, b| (a.0, a.1, &a.2.name).cmp(&(b.0, b.1, &b.2.name)));
+        let mut rooms: Vec<(&Machine, (f64, f64, f64))> = usable
+            .iter()
+            .filter(|o| o.free().0 > EPS)
+            .map(|o| (*o, o.free()))
+            .collect();
+        let mut chosen = Vec::new();
+        // Only the best are tried: the rest comes next time.
+        for (_, _, m) in candidates.into_iter().take(8 * most) {
+            if chosen.len() >= most || free < 2.0 * m.cpus {
+                break;
+            }
+            let before = rooms.clone();
+            rooms.retain(|(o, _)| o.name != m.name);
+            let mut stops = Vec::new();
+            let fits = m.assignments.iter().all(|a| {
+                let Some(job) = self.jobs.get(a.job) else {
+                    return true;
+                };
+                let spec = &job.spec;
+                let place = rooms.iter_mut().find(|(o, r)| {
+                    (o.spot || !m.spot)
+                        && slots(*r, spec) > 0
+                        && permits(cx, spec, &o.machine_type, &o.zone, o.spot)
+                });
+                let Some((_, r)) = place else { return false };
+                *r = (r.0 - a.cpus, r.1 - a.gpus, r.2 - a.memory);
+                if spec.savepoint_s > 0.0 && a.remaining(now, 0) > 20 * SECOND {
+                    stops.push((a.attempt, leeway(micros(spec.flush_s))));
+                }
+                true
+            });
+            // Without a task to move it would empty as soon by itself.
+            if fits && !stops.is_empty() {
+                free -= m.cpus;
+                chosen.push((m.name.clone(), stops));
+            } else {
+                rooms = before;
+            }
+        }
+        for (name, stops) in chosen {
+            info!("{name}: being emptied, {} tasks move", stops.len());
+            if let Some(m) = self.machines.get_mut(&name) {
+                m.closing = true;
+            }
+            for (attempt, leeway) in stops {
+                self.stop_on(cx, &name, leeway, |a| a.attempt == attempt);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/leadership/flush.rs
@@ -0,0 +1,323 @@
+//! The ledger's traffic: what the leader writes, and what becomes of it.
+
+use super::*;
+
+impl Lead {
+    /// Renders a record's current content.
+    pub(super) fn render(&self, cx: &Ctx, rec: &Rec) -> Option<Rendered> {
+        let single = |key: String, change: Change| Rendered {
+            when: vec![self.ledger.unchanged(&key)],
+            apply: vec![change],
+        };
+        match rec {
+            Rec::Done(n) => {
+                let key = format!("{DONE}{n}");
+                let record = self.done_pages.record(*n, &self.jobs);
+                Some(single(key.clone(), put(key, &record)))
+            }
+            Rec::Page(n) => {
+                let key = format!("{PAGE}0/{n}");
+                Some(single(key.clone(), put(key, &self.page_record(*n))))
+            }
+            Rec::Hire(name) => {
+                let key = format!("{HIRE}{name}");
+                match self.fleet.hire_record(name) {
+                    Some(record) => Some(single(key.clone(), put(key, &record))),
+                    None if self.ledger.stamps.contains_key(&key) => {
+                        Some(single(key.clone(), Change::Delete { delete: key }))
+                    }
+                    None => None,
+                }
+            }
+            Rec::Stats => Some(single(
+                STATS.into(),
+                put(STATS.into(), &self.stats.record()),
+            )),
+            Rec::Catalogue => {
+                let builds = cx.catalogue.clone()?;
+                let record = wire::http::Catalogue { builds };
+                Some(single(CATALOGUE.into(), put(CATALOGUE.into(), &record)))
+            }
+            Rec::Over(ix) => {
+                let job = self.jobs.get(*ix)?;
+                let ending = job.ending?;
+                let (live, past) = (job_key(&job.id), format!("{PAST}{}", job.id));
+                let mut cancel = cancel_key(&job.id);
+                let old_cancel = format!("{OLD_CANCEL}{}", job.id);
+                if self.ledger.stamps.contains_key(&old_cancel) {
+                    cancel = old_cancel;
+                }
+                let record = PastRecord {
+                    status: ending.status().into(),
+                    shards: job.tasks(),
+                };
+                let mut r = Rendered {
+                    when: vec![absent(&past), self.ledger.unchanged(&live)],
+                    apply: vec![
+                        put(past, &record),
+                        Change::Delete {
+                            delete: live.clone(),
+                        },
+                    ],
+                };
+                match ending {
+                    // A cancellation that came first wins.
+                    Ending::Done => r.when.push(absent(&cancel)),
+                    Ending::Aborted => {
+                        r.when.push(self.ledger.unchanged(&cancel));
+                        r.apply.push(Change::Delete { delete: cancel });
+                    }
+                }
+                // A record of an earlier version; if there are more, those are left behind,
+                // which costs room but is harmless.
+                let first = format!("{DONE}{}/0", job.id);
+                if self.ledger.stamps.contains_key(&first) {
+                    r.when.push(self.ledger.unchanged(&first));
+                    r.apply.push(Change::Delete { delete: first });
+                }
+                Some(r)
+            }
+        }
+    }
+
+    /// Writes dirty records, as many as one transaction and the rate allow.
+    pub(super) fn run_flush(&mut self, cx: &mut Ctx) {
+        let now = cx.now.steady;
+        if self.ledger.in_flight.is_some() || now < self.ledger.not_before {
+            return;
+        }
+        if self.ledger.next_due().is_none_or(|due| due > now) {
+            return;
+        }
+        if let Some(key) = self.ledger.stale.first().cloned() {
+            let pending = self.pending(LeadCall::Refresh { key: key.clone() });
+            self.ledger.back_off(now, STATE_TIMEOUT);
+            cx.read_key(&key, pending);
+            return;
+        }
+        let ops_left = cx.settings.txn_ops.min(cx.lead_writes.available(now));
+        let mut txn = Txn {
+            when: vec![When {
+                k: LEADER.into(),
+                stamp: self.token,
+            }],
+            apply: Vec::new(),
+        };
+        let mut recs = Vec::new();
+        let mut bytes = 0;
+        let mut short = false;
+        for rec in self.ledger.due(now) {
+            let Some(r) = self.render(cx, &rec) else {
+                self.ledger.forget(&rec);
+                continue;
+            };
+            let size = wire::to_cbor(&r.apply).len();
+            if txn.apply.len() + r.apply.len() > ops_left || bytes + size > 40 * 1024 {
+                short = true;
+                if recs.is_empty() && ops_left >= Ctx::cost(&rec) {
+                    continue;
+                }
+                break;
+            }
+            bytes += size;
+            txn.when.extend(r.when);
+            txn.apply.extend(r.apply);
+            recs.push((rec.clone(), self.ledger.version(&rec)));
+        }
+        if recs.is_empty() {
+            if short {
+                self.ledger.not_before = cx.lead_writes.ready_at(now, 4.0).max(now + 5 * MILLI);
+            }
+            return;
+        }
+        cx.lead_writes.take(now, txn.apply.len() as f64);
+        let pending = self.pending(LeadCall::Flush);
+        let call = cx.post_state("/txn", &txn, pending);
+        self.ledger.not_before = now + cx.tuning.flush_interval_us;
+        self.ledger.in_flight = Some(Batch { recs, txn, call });
+    }
+
+    pub(super) fn on_flush(&mut self, cx: &mut Ctx, outcome: Outcome) -> Result<(), String> {
+        let now = cx.now.steady;
+        let Some(batch) = self.ledger.in_flight.take() else {
+            return Ok(());
+        };
+        match outcome {
+            Outcome::Answer { status: 200, body } => match wire::from_cbor::<Epoch>(&body) {
+                Ok(e) => {
+                    self.flush_failures = 0;
+                    self.flushed(cx, &batch, e.epoch);
+                }
+                Err(_) => self.read_back(cx, batch),
+            },
+            Outcome::Answer { status: 409, body } => {
+                let failed = wire::from_cbor::<TxnFailed>(&body)
+                    .map(|f| f.failed)
+                    .unwrap_or_default();
+                if failed.iter().any(|k| k == LEADER) {
+                    return Err("another leader was elected".into());
+                }
+                for key in failed {
+                    if let Some(JobKey::Cancelled(id)) = JobKey::parse(&key) {
+                        self.on_cancelled(cx, id);
+                    }
+                    self.ledger.stale.push(key);
+                }
+                self.ledger.back_off(now, MILLI);
+            }
+            Outcome::Unknown => self.read_back(cx, batch),
+            Outcome::Answer { status, body } => {
+                if status != 429 && status != 503 {
+                    let text = String::from_utf8_lossy(&body[..body.len().min(200)]).to_string();
+                    error!("state service: flush got {status}: {text}");
+                }
+                if status == 429 {
+                    cx.lead_writes.drain(now);
+                }
+                self.flush_failed(cx);
+            }
+            Outcome::NotSent => self.flush_failed(cx),
+        }
+        Ok(())
+    }
+
+    pub(super) fn flush_failed(&mut self, cx: &mut Ctx) {
+        self.flush_failures = (self.flush_failures + 1).min(4);
+        let pause = (100 * MILLI) << self.flush_failures;
+        let jitter = cx.jitter(pause / 4);
+        self.ledger.back_off(cx.now.steady, pause / 2 + jitter);
+    }
+
+    /// The outcome of a flush is unknown: looks whether it was applied.
+    pub(super) fn read_back(&mut self, cx: &mut Ctx, batch: Batch) {
+        let key = batch
+            .puts()
+            .next()
+            .or_else(|| batch.deletes().next())
+            .map(str::to_string);
+        self.ledger.in_flight = Some(batch);
+        if let Some(key) = key {
+            let pending = self.pending(LeadCall::FlushReadBack);
+            cx.read_key(&key, pending);
+        }
+    }
+
+    pub(super) fn on_read_back(&mut self, cx: &mut Ctx, outcome: Outcome) -> Result<(), String> {
+        let Some(batch) = self.ledger.in_flight.take() else {
+            return Ok(());
+        };
+        let put_key = batch.puts().next().map(str::to_string);
+        let known = put_key
+            .as_ref()
+            .and_then(|k| self.ledger.stamps.get(k).copied())
+            .unwrap_or(0);
+        match outcome {
+            Outcome::Answer { status: 200, body } => {
+                let stamp = wire::from_cbor::<Entry<Value>>(&body)
+                    .map(|e| e.stamp)
+                    .unwrap_or(0);
+                // We alone write this key, so a new stamp is that of the batch: all its changes
+                // have the same.
+                if put_key.is_some() && stamp > known {
+                    self.flushed(cx, &batch, stamp);
+                } else {
+                    self.flush_failed(cx);
+                }
+            }
+            Outcome::Answer { status: 404, .. } if put_key.is_none() => {
+                self.flushed(cx, &batch, 0);
+            }
+            Outcome::Answer { status: 404, .. } => self.flush_failed(cx),
+            _ => {
+                // Still no contact: ask again after a pause, with the batch kept.
+                self.flush_failed(cx);
+                self.ledger.stale.extend(
+                    batch
+                        .puts()
+                        .chain(batch.deletes())
+                        .map(str::to_string)
+                        .collect::<Vec<_>>(),
+                );
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes the stamp of a key that differs from what we knew: an earlier transaction of ours
+    /// was applied after all.
+    pub(super) fn on_refresh(&mut self, cx: &mut Ctx, key: &str, outcome: Outcome) {
+        let now = cx.now.steady;
+        self.ledger.not_before = now;
+        match outcome {
+            Outcome::Answer { status: 200, body } => {
+                match wire::from_cbor::<Entry<Value>>(&body) {
+                    Ok(e) => {
+                        self.ledger.stamps.insert(key.to_string(), e.stamp);
+                        if let Some(id) = key.strip_prefix(PAST) {
+                            // The end of this job was written before.
+                            let ended: Option<PastRecord> = from_value(&e.value).ok();
+                            if let (Some(ix), Some(_)) = (self.jobs.find(id), ended) {
+                                self.ledger.forget(&Rec::Over(ix));
+                                self.job_ended(ix);
+                            }
+                        }
+                    }
+                    Err(_) => return self.flush_failed(cx),
+                }
+            }
+            Outcome::Answer { status: 404, .. } => {
+                self.ledger.stamps.remove(key);
+            }
+            _ => return self.flush_failed(cx),
+        }
+        self.ledger.stale.retain(|k| k != key);
+    }
+
+    pub(super) fn flushed(&mut self, cx: &mut Ctx, batch: &Batch, epoch: u64) {
+        self.ledger.applied(batch, epoch);
+        self.held_stir = true;
+        for (rec, _) in &batch.recs {
+            match rec {
+                Rec::Over(ix) => {
+                    if let Some(j) = self.jobs.get(*ix) {
+                        info!(
+                            "{}: {} after {} s, began after {} s, {} tasks of {} for {}, {} s each",
+                            j.id,
+                            j.ending.map_or("over", Ending::status),
+                            j.age(cx.now.steady) / SECOND,
+                            j.began_at.unwrap_or(0) / SECOND,
+                            j.tasks(),
+                            j.spec.workclass,
+                            j.spec.owner,
+                            j.run_mean.0 / SECOND
+                        );
+                    }
+                    self.job_ended(*ix)
+                }
+                Rec::Hire(name) => self.fleet.hire_written(cx.now.steady, name),
+                _ => {}
+            }
+        }
+    }
+
+    pub(super) fn job_ended(&mut self, ix: JobIx) {
+        if let Some(job) = self.jobs.remove(ix) {
+            for key in [
+                job_key(&job.id),
+                cancel_key(&job.id),
+                format!("{OLD_CANCEL}{}", job.id),
+                format!("{PAST}{}", job.id),
+                format!("{DONE}{}/0", job.id),
+            ] {
+                self.ledger.stamps.remove(&key);
+            }
+            self.done_pages.drop_job(ix, &job);
+            self.progress_dirty.remove(&ix);
+            self.ledger.forget(&Rec::Over(ix));
+            self.ended.push_back(job.id);
+            if self.ended.len() > 200 {
+                self.ended.pop_front();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/leadership/loading.rs
@@ -0,0 +1,320 @@
+//! How a new leader reads its state back.
+
+use super::*;
+
+impl Lead {
+    pub(super) fn start_loading(&mut self, cx: &mut Ctx) {
+        let mut loading = Loading::default();
+        for prefix in [JOB, OLD_CANCEL, DONE, PAGE, HIRE, STATS, CATALOGUE] {
+            loading.missing.insert(prefix, None);
+            loading.retry.insert(prefix, cx.now.steady);
+        }
+        self.loading = Some(loading);
+        self.run_loading(cx);
+    }
+
+    pub(super) fn run_loading(&mut self, cx: &mut Ctx) {
+        let now = cx.now.steady;
+        let token = self.token;
+        let Some(loading) = &mut self.loading else {
+            return;
+        };
+        let due: Vec<&'static str> = loading
+            .retry
+            .iter()
+            .filter(|(_, at)| **at <= now)
+            .map(|(p, _)| *p)
+            .collect();
+        for prefix in due {
+            loading.retry.remove(prefix);
+            let what = if prefix.ends_with('/') {
+                LeadCall::List { prefix }
+            } else {
+                LeadCall::Read { key: prefix }
+            };
+            let since = match loading.missing.get(prefix) {
+                Some(Some(since)) => format!("&since={since}"),
+                _ => String::new(),
+            };
+            let path = if prefix.ends_with('/') {
+                format!("/kv?prefix={prefix}{since}&page=200")
+            } else {
+                format!("/kv/{prefix}")
+            };
+            let pending = Pending::Lead { token, what };
+            cx.call(
+                Target::State,
+                "GET",
+                path,
+                Vec::new(),
+                STATE_TIMEOUT,
+                pending,
+            );
+        }
+    }
+
+    /// Takes a reply to a read of the loading, or of a relist of a watch.
+    pub(super) fn on_list(&mut self, cx: &mut Ctx, prefix: &'static str, outcome: Outcome) {
+        let now = cx.now.steady;
+        let list = match &outcome {
+            Outcome::Answer { status: 200, body } => wire::from_cbor::<EntryList>(body),
+            _ => Err(wire::DecodeError("no answer".into())),
+        };
+        let Some(loading) = &mut self.loading else {
+            return self.on_relist(cx, prefix, list.ok());
+        };
+        match list {
+            Ok(list) => {
+                loading.epochs.entry(prefix).or_insert(list.epoch);
+                let last = list.entries.last().map(|e| e.k.clone());
+                loading
+                    .entries
+                    .entry(prefix)
+                    .or_default()
+                    .extend(list.entries);
+                if list.more && last.is_some() {
+                    loading.missing.insert(prefix, last);
+                    loading.retry.insert(prefix, now);
+                } else {
+                    loading.missing.remove(prefix);
+                }
+            }
+            Err(e) => {
+                warn!("list {prefix}: {e}");
+                loading.retry.insert(prefix, now + 200 * MILLI);
+            }
+        }
+        self.run_loading(cx);
+        self.finish_loading(cx);
+    }
+
+    pub(super) fn on_read(&mut self, cx: &mut Ctx, key: &'static str, outcome: Outcome) {
+        let Some(loading) = &mut self.loading else {
+            return;
+        };
+        match outcome {
+            Outcome::Answer { status: 200, body } => {
+                loading.missing.remove(key);
+                match wire::from_cbor::<Entry<Value>>(&body) {
+                    Ok(entry) => loading.entries.entry(key).or_default().push(entry),
+                    Err(e) => error!("record {key}: {e}"),
+                }
+            }
+            Outcome::Answer { status: 404, .. } => {
+                loading.missing.remove(key);
+            }
+            _ => {
+                loading.retry.insert(key, cx.now.steady + 200 * MILLI);
+            }
+        }
+        self.finish_loading(cx);
+    }
+
+    /// Builds the working state once everything is read.
+    pub(super) fn finish_loading(&mut self, cx: &mut Ctx) {
+        if !self.loading.as_ref().is_some_and(|l| l.missing.is_empty()) {
+            return;
+        }
+        let Some(mut loading) = self.loading.take() else {
+            return;
+        };
+        let now = cx.now.steady;
+        let mut take = |prefix: &str| loading.entries.remove(prefix).unwrap_or_default();
+        let (mut jobs, mut cancels, dones) = (take(JOB), take(OLD_CANCEL), take(DONE));
+        jobs.retain(|e| {
+            let live = !matches!(JobKey::parse(&e.k), Some(JobKey::Cancelled(_)));
+            if !live {
+                cancels.push(e.clone());
+            }
+            live
+        });
+        let (pages, hires) = (take(PAGE), take(HIRE));
+        let (stats, catalogue) = (take(STATS), take(CATALOGUE));
+        for e in jobs {
+            self.add_job(cx, &e.k, &e.value, e.stamp);
+        }
+        for e in dones {
+            self.ledger.stamps.insert(e.k.clone(), e.stamp);
+            self.load_done(&e.k, &e.value);
+        }
+        for e in pages {
+            self.ledger.stamps.insert(e.k.clone(), e.stamp);
+            self.load_page(cx, &e.k, &e.value);
+        }
+        for e in hires {
+            self.ledger.stamps.insert(e.k.clone(), e.stamp);
+            match from_value::<HireRecord>(&e.value) {
+                Ok(hire) => {
+                    let name = e.k.trim_start_matches(HIRE).to_string();
+                    self.fleet.recover_hire(cx, name, hire);
+                }
+                Err(err) => error!("record {}: {err}", e.k),
+            }
+        }
+        for e in stats {
+            self.ledger.stamps.insert(e.k, e.stamp);
+            match from_value(&e.value) {
+                Ok(record) => self.stats = Stats::load(&record),
+                Err(err) => error!("record {STATS}: {err}"),
+            }
+        }
+        let known = !catalogue.is_empty();
+        for e in catalogue {
+            self.ledger.stamps.insert(e.k, e.stamp);
+        }
+        if !known {
+            self.fleet.types_at = now;
+        }
+        self.loaded_at = now;
+        self.heard_at = now;
+        self.placement.next_at = now;
+        let watch = Watch {
+            since: loading.epochs.get(JOB).copied().unwrap_or(0),
+            ..Watch::default()
+        };
+        self.watches.insert(JOB, watch);
+        let ids: Vec<String> = cancels
+            .iter()
+            .filter_map(|e| match JobKey::parse(&e.k) {
+                Some(JobKey::Cancelled(id)) => Some(id.to_string()),
+                _ => None,
+            })
+            .collect();
+        for e in &cancels {
+            if let Err(err) = from_value::<CancelRecord>(&e.value) {
+                error!("record {}: {err}; taken as a cancellation", e.k);
+            }
+            self.ledger.stamps.insert(e.k.clone(), e.stamp);
+        }
+        for id in ids {
+            self.on_cancelled(cx, &id);
+        }
+        let complete: Vec<JobIx> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.all_done())
+            .map(|(ix, _)| ix)
+            .collect();
+        for ix in complete {
+            self.end_if_over(cx, ix);
+        }
+        info!(
+            "loaded {} jobs, {} machines with tasks",
+            self.jobs.len(),
+            self.machines.len()
+        );
+    }
+
+    pub(super) fn add_job(&mut self, cx: &Ctx, key: &str, value: &Value, stamp: u64) {
+        let Some(id) = key.strip_prefix(JOB) else {
+            return;
+        };
+        if self.jobs.find(id).is_some() || self.ended.iter().any(|e| e == id) {
+            return;
+        }
+        match from_value::<JobRecord>(value) {
+            Ok(record) if record.spec.uid == id => {
+                self.ledger.stamps.insert(key.to_string(), stamp);
+                let job = Job::new(record, cx.now.steady, cx.now.wall);
+                self.jobs.insert(job);
+                self.placement.want(cx.now.steady);
+            }
+            Ok(_) => error!("record {key}: holds another job; set aside"),
+            Err(e) => {
+                if !self.corrupt.iter().any(|k| k == key) {
+                    error!("record {key}: {e}; set aside");
+                    self.corrupt.push(key.to_string());
+                }
+            }
+        }
+    }
+
+    /// Reads completed tasks back, in the present form or in that of an earlier version.
+    pub(super) fn load_done(&mut self, key: &str, value: &Value) {
+        let rest = key.strip_prefix(DONE).unwrap_or_default();
+        if let Some((id, n)) = rest.rsplit_once('/') {
+            let job = self.jobs.find(id).and_then(|ix| self.jobs.get_mut(ix));
+            match (job, n.parse(), from_value::<DoneRecord>(value)) {
+                (Some(job), Ok(n), Ok(record)) => job.load_done(n, &record.bits),
+                (None, _, _) => {}
+                _ => error!("record {key}: unreadable; its tasks may run again"),
+            }
+            return;
+        }
+        match (rest.parse::<u64>(), from_value::<DonePageRecord>(value)) {
+            (Ok(page), Ok(record)) => {
+                for (id, n, bits) in record.jobs {
+                    let Some(ix) = self.jobs.find(&id) else {
+                        continue;
+                    };
+                    if let Some(job) = self.jobs.get_mut(ix) {
+                        job.load_done(n, &bits);
+                        self.done_pages.adopt(page, ix, n, job);
+                    }
+                }
+            }
+            (page, _) => {
+                // It is kept as it is. Results of tasks are kept too, so those that it lists end
+                // at once when they are started again.
+                error!("record {key}: unreadable; its tasks may run again");
+                if let Ok(page) = page {
+                    self.done_pages.set_aside(page);
+                }
+            }
+        }
+    }
+
+    pub(super) fn load_page(&mut self, cx: &mut Ctx, key: &str, value: &Value) {
+        let number = key
+            .rsplit_once('/')
+            .and_then(|(_, n)| n.parse::<u64>().ok());
+        let (Some(number), Ok(page)) = (number, from_value::<PageRecord>(value)) else {
+            // Nothing can be said of what it lists: no task of any live job may be started
+            // until every machine has been heard or released, which `quarantine` sees to.
+            error!("record {key}: unreadable; waiting for proof from all machines");
+            self.placement.quarantine_until = cx.now.steady + cx.settings.lease * 2 + 10 * SECOND;
+            if let Some(n) = number {
+                self.page_mut(n).broken = true;
+            }
+            return;
+        };
+        self.page_mut(number);
+        for m in page.machines {
+            for (job_id, task, attempt) in m.t {
+                let Some(ix) = self.jobs.find(&job_id) else {
+                    // Its job is over; whatever still runs is stopped when the worker reports it.
+                    continue;
+                };
+                let Some(job) = self.jobs.get_mut(ix) else {
+                    continue;
+                };
+                job.take(task);
+                *job.zones.entry(m.zone.clone()).or_insert(0) += 1;
+                let spec = &job.spec;
+                let assignment = Assignment {
+                    job: ix,
+                    job_id,
+                    task,
+                    attempt,
+                    tenure: m.tenure,
+                    page: number,
+                    written: 0,
+                    cpus: spec.vcpus,
+                    gpus: spec.accelerators,
+                    memory: spec.memory_gb,
+                    team: spec.owner.clone(),
+                    zone: m.zone.clone(),
+                    launched: Some((0, 0)),
+                    seen: Seen::Never,
+                    decided: cx.now.steady,
+                    started: None,
+                    expected: self.stats.expected_run(spec),
+                    stop: None,
+                };
+                self.page_mut(number).add(&m.m, &assignment);
+                self.recovered_machine(cx, &m.m, &m.zone, m.tenure);
+                self.hold(&m.m, assignment);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/workers/machine.rs
@@ -0,0 +1,289 @@
+//! What is known of a machine, and of the tasks given to it.
+
+use super::*;
+
+/// What a worker last said of an assignment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// Nothing yet.
+    Never,
+    Fetching,
+    Running,
+    Saving,
+}
+
+/// Why and how a task is to be stopped.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Stop {
+    pub leeway: Micros,
+    pub since: Micros,
+    /// When the command was last sent directly.
+    pub sent: Option<Micros>,
+}
+
+/// A task given to a machine: from its decision until proof that it is gone.
+#[derive(Clone, Debug)]
+pub struct Assignment {
+    pub job: JobIx,
+    pub job_id: String,
+    pub task: u64,
+    pub attempt: u64,
+    pub tenure: u64,
+    pub page: u64,
+    /// Number of the page's change that holds it; it may be launched once that is durable.
+    pub written: u64,
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory: f64,
+    pub team: String,
+    pub zone: String,
+    /// The (tenure, tally) of the check-in whose answer carried the launch. An assignment read
+    /// back from state counts as launched by an older holder: `(0, 0)`.
+    pub launched: Option<(u64, u64)>,
+    pub seen: Seen,
+    /// When it was decided.
+    pub decided: Micros,
+    /// When it was first seen running.
+    pub started: Option<Micros>,
+    pub expected: Micros,
+    pub stop: Option<Stop>,
+}
+
+impl Assignment {
+    /// Whether an earlier leader launched it, as far as known.
+    pub fn recovered(&self) -> bool {
+        self.launched == Some((0, 0))
+    }
+
+    /// Whether the worker may have it.
+    pub fn may_exist(&self) -> bool {
+        self.launched.is_some()
+    }
+
+    /// Time it will still take, by its expected run time and fetch.
+    pub fn remaining(&self, now: Micros, fetch: Micros) -> Micros {
+        match self.started {
+            // A task that overruns is expected to run for a further fifth of what it has run.
+            Some(at) => self
+                .expected
+                .saturating_sub(now.saturating_sub(at))
+                .max(now.saturating_sub(at) / 5),
+            None => self.expected + fetch,
+        }
+    }
+}
+
+/// An exited attempt to be removed from the reports once its outcome is durable.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reap {
+    pub shard: String,
+    pub attempt: u64,
+    /// Records, with their change numbers, that must be durable first.
+    pub after: Vec<(Rec, u64)>,
+    pub job: Option<JobIx>,
+}
+
+/// A machine.
+#[derive(Clone, Debug)]
+pub struct Machine {
+    pub name: String,
+    pub endpoint: String,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory: f64,
+    pub tenure: u64,
+    pub tally: u64,
+    /// Whether it has reported under our token.
+    pub knows_token: bool,
+    pub last_report: Micros,
+    /// When we last answered a check-in of it: its lease ends no later than a lease after that.
+    pub last_answer: Micros,
+    /// When the cloud takes it.
+    pub recall_at: Option<Micros>,
+    pub assignments: Vec<Assignment>,
+    /// CPUs, accelerators and memory that the assignments take.
+    pub used: (f64, f64, f64),
+    pub reaps: Vec<Reap>,
+    pub idle_since: Micros,
+    /// Images it has, the most recently used last, with their sizes.
+    pub images: VecDeque<(String, f64)>,
+    pub cache_gb: f64,
+    pub fetch_gb_per_s: f64,
+    /// To be returned: nothing is placed on it any more.
+    pub closing: bool,
+    /// Errors in a row without a success, of different jobs.
+    pub errors: Vec<String>,
+    /// Nothing is placed on it before this time, after it refused a task.
+    pub shy_until: Micros,
+    /// Idle work is kept off until then: room is being made for work of higher priority.
+    pub kept_until: Micros,
+    /// When the cloud's list first showed it.
+    pub listed: Option<Micros>,
+    /// Whether our answers reach it, as far as its reports show. Reports may arrive from a machine
+    /// that no answer reaches, and copies of reports from one that is gone: neither gets work.
+    pub hears: bool,
+    /// Since when it reports without hearing.
+    pub deaf_since: Option<Micros>,
+}
+
+impl Machine {
+    pub fn new(report: &Report, build: Option<&MachineType>, now: Micros) -> Self {
+        Machine {
+            name: report.perch.clone(),
+            endpoint: report.endpoint.clone(),
+            machine_type: report.build.clone(),
+            zone: report.yard.clone(),
+            spot: report.loaner,
+            cpus: build.map_or(0.0, |b| b.vcpus),
+            gpus: build.map_or(0.0, |b| b.accelerators),
+            memory: build.map_or(0.0, |b| b.memory_gb),
+            tenure: 0,
+            tally: 0,
+            knows_token: false,
+            last_report: now,
+            last_answer: now,
+            recall_at: None,
+            assignments: Vec::new(),
+            used: (0.0, 0.0, 0.0),
+            reaps: Vec::new(),
+            idle_since: now,
+            images: VecDeque::new(),
+            cache_gb: build.and_then(|b| b.local_gb).unwrap_or(0.0),
+            fetch_gb_per_s: build
+                .and_then(|b| b.fetch_gb_per_s)
+                .filter(|r| *r > 0.0)
+                .unwrap_or(1.0),
+            closing: false,
+            errors: Vec::new(),
+            shy_until: 0,
+            kept_until: 0,
+            listed: None,
+            hears: false,
+            deaf_since: None,
+        }
+    }
+
+    /// Free CPUs, accelerators and memory. Everything counts from assignment to proof.
+    pub fn free(&self) -> (f64, f64, f64) {
+        let (c, g, m) = self.used;
+        (self.cpus - c, self.gpus - g, self.memory - m)
+    }
+
+    /// Sums up anew what the assignments take, after one came or went.
+    pub(super) fn recount(&mut self) {
+        self.used = self.assignments.iter().fold((0.0, 0.0, 0.0), |u, a| {
+            (u.0 + a.cpus, u.1 + a.gpus, u.2 + a.memory)
+        });
+    }
+
+    pub fn has_image(&self, image: &str) -> bool {
+        self.images.iter().any(|(i, _)| i == image)
+    }
+
+    /// Notes that the image was used.
+    pub fn use_image(&mut self, image: &str, gb: f64) {
+        self.images.retain(|(i, _)| i != image);
+        self.images.push_back((image.to_string(), gb));
+        let mut total: f64 = self.images.iter().map(|(_, gb)| gb).sum();
+        while total > self.cache_gb && self.images.len() > 1 {
+            if let Some((_, gb)) = self.images.pop_front() {
+                total -= gb;
+            }
+        }
+    }
+
+    /// Expected time to fetch the image, 0 if it is here.
+    pub fn fetch_time(&self, image: &str, gb: f64) -> Micros {
+        if self.has_image(image) {
+            0
+        } else {
+            (gb / self.fetch_gb_per_s * SECOND as f64) as Micros
+        }
+    }
+
+    /// Whether new tasks may be placed here.
+    pub fn usable(&self, now: Micros, silence: Micros) -> bool {
+        self.hears && self.counts(now, silence)
+    }
+
+    /// Whether the decider counts on it: also while it has yet to show that our answers reach it.
+    /// A new leader, for whom that is all machines, once rented a second fleet meanwhile.
+    pub fn counts(&self, now: Micros, silence: Micros) -> bool {
+        let doubtful = self.deaf_since.map_or(0, |at| now.saturating_sub(at));
+        !self.closing
+            && doubtful <= ANSWER_TIME
+            && self.recall_at.is_none()
+            && self.tenure > 0
+            && self.shy_until <= now
+            && now.saturating_sub(self.last_report) <= silence
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn machine(now: Micros) -> Machine {
+        let report = Report {
+            perch: "n-000001".into(),
+            endpoint: "10.1.0.1:9000".into(),
+            build: "std".into(),
+            yard: "a".into(),
+            loaner: true,
+            tenure: 1,
+            tally: 1,
+            warrant: 0,
+            recall_s: None,
+            shards: Vec::new(),
+        };
+        let mut m = Machine::new(&report, None, now);
+        m.tenure = 1;
+        m
+    }
+
+    /// A new leader, to whom no machine has shown yet that it hears, once rented for work that
+    /// its machines covered.
+    #[test]
+    fn a_machine_that_has_yet_to_hear_counts_for_a_while_but_gets_no_work() {
+        let (now, silence) = (100 * SECOND, 5 * SECOND);
+        let mut m = machine(now);
+        m.deaf_since = Some(now - SECOND);
+        assert!(m.counts(now, silence) && !m.usable(now, silence));
+        m.deaf_since = Some(now - ANSWER_TIME - SECOND);
+        assert!(!m.counts(now, silence));
+        m.hears = true;
+        m.deaf_since = None;
+        assert!(m.usable(now, silence));
+    }
+
+    /// The runs of tasks that were taken over seemed short, and made all estimates too low.
+    #[test]
+    fn a_task_of_an_earlier_leader_is_known_as_such() {
+        let mut a = Assignment {
+            job: 0,
+            job_id: "req-1".into(),
+            task: 0,
+            attempt: 1,
+            tenure: 1,
+            page: 0,
+            written: 0,
+            cpus: 1.0,
+            gpus: 0.0,
+            memory: 1.0,
+            team: "t".into(),
+            zone: "a".into(),
+            launched: Some((0, 0)),
+            seen: Seen::Never,
+            decided: 0,
+            started: None,
+            expected: 20 * SECOND,
+            stop: None,
+        };
+        assert!(a.recovered());
+        a.launched = Some((1, 7));
+        assert!(!a.recovered());
+    }
+}
