Let a leader that stood still act only once it knows that it leads

Cause: a leader that stands still for 28 to 33 s while its clocks run on takes the first check-in that waited at its door before it notices that it has no contact, and answers it on the grant that ran out; and a reply that had waited since before counted as fresh contact.

Now a step that comes more than half a leader's lease after the one before is a standstill: the grant is in doubt, check-ins are refused with 503, nothing is launched, commanded, rented or written as the leader until a renewal sent since is answered, or all peers, asked since, show an outage as old as ours. Replies to calls made before are no contact, an election's outcome unknown. An answer from the view that comes after a request was given up on is 503.

Ruled out: taking the time of the call as that of the contact everywhere; with a slow state service it makes leaders doubt their contact that have it.

--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -69,6 +69,8 @@
     without_contact: Option<Micros>,
     /// When it last had contact, by our clock.
     contact: Option<Micros>,
+    /// The same, however long ago.
+    last_contact: Option<Micros>,
     token: u64,
 }
 
@@ -150,7 +152,9 @@
     pub token: u64,
     lease: u64,
     extend_at: Micros,
-    extending: bool,
+    /// The process stood still, and whether the grant still holds is not known yet. Until it is,
+    /// nothing is launched, stopped, written, rented or answered to a worker.
+    doubtful: bool,
     loading: Option<Loading>,
     pub loaded_at: Micros,
     pub jobs: Jobs,
@@ -340,6 +344,21 @@
         }
     }
 
+    /// After a standstill, the first thing is to learn whether this node still leads: its lease may
+    /// have run out, and others may have acted since. Check-ins that waited were given up.
+    pub(crate) fn doubt_grant(&mut self) {
+        let now = self.cx.now.steady;
+        let Some(lead) = &mut self.lead else { return };
+        lead.doubtful = true;
+        lead.extend_at = now;
+        for held in std::mem::take(&mut lead.held) {
+            self.cx
+                .refuse(held.request, 503, "it is not certain who leads");
+        }
+        self.election.peers.clear();
+        self.election.next_probe = now;
+    }
+
     /// Asks the peers whether they have contact with the state service. While the leader has
     /// contact itself this only keeps its view of the peers fresh.
     fn ask_peers(&mut self) {
@@ -371,6 +390,9 @@
         };
         let view = self.election.peers.entry(peer).or_default();
         view.token = answer.token;
+        view.last_contact = answer
+            .state_contact_age_us
+            .map(|age| now.saturating_sub(age));
         match answer.state_contact_age_us {
             Some(age) if age < 2 * SECOND => {
                 view.contact = Some(now.saturating_sub(age));
@@ -379,6 +401,24 @@
             // It had none in the last two seconds before it answered.
             _ => view.without_contact = Some(view.asked.saturating_sub(2 * SECOND)),
         }
+        // All peers, asked since the standstill, have been without contact for as long as we have,
+        // and know of no later grant: an outage, in which leases do not run out, nobody can be
+        // elected and nobody can have accepted a cancellation.
+        let (woke, lost) = (self.cx.woke(), self.cx.last_contact.unwrap_or(0));
+        if let Some(lead) = self.lead.as_mut().filter(|l| l.doubtful) {
+            let peers = &self.election.peers;
+            let outage = (0..self.cx.settings.siblings.len()).all(|p| {
+                peers.get(&p).is_some_and(|v| {
+                    v.asked >= woke
+                        && v.without_contact.is_some()
+                        && v.last_contact.is_some_and(|c| c <= lost + 1_500 * MILLI)
+                        && v.token <= lead.token
+                })
+            });
+            if outage {
+                lead.grant_holds();
+            }
+        }
     }
 
     /// A leader without contact with the state service finds out which of three things happened.
@@ -449,7 +489,7 @@
             token,
             lease,
             extend_at: now + cx.tuning.leader_lease_us / 4,
-            extending: false,
+            doubtful: false,
             loading: None,
             loaded_at: 0,
             jobs: Jobs::default(),
@@ -485,6 +525,18 @@
         self.loading.is_none()
     }
 
+    /// Whether the grant may have run out while the process stood still.
+    pub fn doubtful(&self) -> bool {
+        self.doubtful
+    }
+
+    fn grant_holds(&mut self) {
+        if self.doubtful {
+            self.doubtful = false;
+            info!("the grant with token {} still holds", self.token);
+        }
+    }
+
     pub(crate) fn pending(&self, what: LeadCall) -> Pending {
         Pending::Lead {
             token: self.token,
@@ -500,6 +552,9 @@
 
     pub fn next_wake(&self, cx: &Ctx) -> Micros {
         let mut at = self.extend_at;
+        if self.doubtful {
+            return at;
+        }
         if let Some(loading) = &self.loading {
             for t in loading.retry.values() {
                 at = at.min(*t);
@@ -570,13 +625,16 @@
         let now = cx.now.steady;
         if now >= self.extend_at {
             // A reply may be lost: the next renewal goes out all the same.
-            self.extend_at = now + cx.tuning.leader_lease_us / 4;
-            self.extending = true;
+            let parts = if self.doubtful { 12 } else { 4 };
+            self.extend_at = now + cx.tuning.leader_lease_us / parts;
             let path = format!("/leases/{}/extend", self.lease);
             let pending = self.pending(LeadCall::Extend);
             let timeout = cx.tuning.leader_lease_us / 4;
             cx.call(Target::State, "POST", path, Vec::new(), timeout, pending);
         }
+        if self.doubtful {
+            return;
+        }
         if !self.loaded() {
             return self.run_loading(cx);
         }
@@ -698,7 +756,9 @@
                 if let Outcome::Answer { status: 404, .. } = outcome {
                     return Err("the lease has ended".into());
                 }
-                if !matches!(outcome, Outcome::Answer { status: 200, .. }) {
+                if matches!(outcome, Outcome::Answer { status: 200, .. }) {
+                    self.grant_holds();
+                } else {
                     self.extend_at = self
                         .extend_at
                         .min(cx.now.steady + cx.tuning.leader_lease_us / 12);
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -55,7 +55,8 @@
     pub rng: SmallRng,
     pub out: Vec<Effect>,
     next_call: u64,
-    pub calls: BTreeMap<u64, Pending>,
+    /// Calls under way: what the reply is for, and when the call was made.
+    calls: BTreeMap<u64, (Pending, Micros)>,
     /// Requests to the state service on behalf of users.
     pub reads: Bucket,
     /// Puts on behalf of users.
@@ -64,6 +65,9 @@
     pub lead_writes: Bucket,
     pub cloud: Bucket,
     pub last_contact: Option<Micros>,
+    /// When this process last stood still and went on. A reply to a call made before may have lain
+    /// here all that time: it is no contact and no proof of a grant.
+    woke: Micros,
     pub catalogue: Option<Vec<MachineType>>,
     /// Highest fencing token known.
     pub token: u64,
@@ -82,7 +86,7 @@
     ) -> u64 {
         self.next_call += 1;
         let id = self.next_call;
-        self.calls.insert(id, pending);
+        self.calls.insert(id, (pending, self.now.steady));
         self.out.push(Effect::Call(Call {
             id,
             target,
@@ -148,6 +152,11 @@
             .map(|at| self.now.steady.saturating_sub(at))
     }
 
+    /// When this process last went on after it had stood still; 0 if it never did.
+    pub fn woke(&self) -> Micros {
+        self.woke
+    }
+
     /// Whether the state service has answered within `span`.
     pub fn in_contact(&self, span: Micros) -> bool {
         self.contact_age().is_some_and(|age| age <= span)
@@ -205,6 +214,7 @@
             next_call: 0,
             calls: BTreeMap::new(),
             last_contact: None,
+            woke: 0,
             catalogue: None,
             token: 0,
         };
@@ -223,10 +233,14 @@
 
     /// Takes one input and returns what is to be done.
     pub fn step(&mut self, now: Now, input: Input, watch: &mut dyn Stopwatch) -> Vec<Effect> {
+        let gap = now.steady.saturating_sub(self.cx.now.steady);
         self.cx.now = now;
         if !self.started {
             self.started = true;
             info!("{}: started", self.cx.settings.member);
+        } else if gap > self.cx.tuning.leader_lease_us / 2 {
+            // Timers fire far more often than that: the process stood still while time went on.
+            self.on_standstill(gap);
         }
         match input {
             Input::Request {
@@ -334,9 +348,10 @@
     }
 
     fn on_reply(&mut self, call: u64, outcome: Outcome) {
-        let Some(pending) = self.cx.calls.remove(&call) else {
+        let Some((pending, made)) = self.cx.calls.remove(&call) else {
             return;
         };
+        let stale = made < self.cx.woke;
         // Any answer but "unavailable" shows that the state service serves this node.
         let of_state = match &pending {
             Pending::Election(_)
@@ -348,13 +363,20 @@
             }
             _ => false,
         };
-        if let (true, Outcome::Answer { status, .. }) = (of_state, &outcome) {
+        if let (true, Outcome::Answer { status, .. }) = (of_state && !stale, &outcome) {
             if *status < 500 {
                 self.cx.last_contact = Some(self.cx.now.steady);
             }
         }
         match pending {
+            // What an election's answer said may have changed meanwhile: its outcome is unknown.
+            Pending::Election(step) if stale => self.on_election(step, Outcome::Unknown),
             Pending::Election(step) => self.on_election(step, outcome),
+            // So may what the renewal of a grant said, unless it says that the grant has ended.
+            Pending::Lead {
+                what: LeadCall::Extend,
+                ..
+            } if stale && !matches!(outcome, Outcome::Answer { status: 404, .. }) => {}
             Pending::Lead { token, what } => {
                 if self.lead.as_ref().is_some_and(|l| l.token == token) {
                     self.on_lead_reply(what, outcome);
@@ -389,6 +411,13 @@
         }
     }
 
+    /// The process stood still, by its clocks for `gap`.
+    fn on_standstill(&mut self, gap: Micros) {
+        warn!("stood still for {} ms", gap / MILLI);
+        self.cx.woke = self.cx.now.steady;
+        self.doubt_grant();
+    }
+
     fn run_timers(&mut self, watch: &mut dyn Stopwatch) {
         let now = self.cx.now.steady;
         if self.cx.catalogue.is_none() && now >= self.catalogue_at {
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -199,7 +199,13 @@
                     }
                     self.view.since = self.view.since.max(Some(changes.epoch));
                     for call in std::mem::take(&mut self.view.asked) {
-                        self.on_fresh_view(call);
+                        if now >= call.arrived + PATIENCE {
+                            // After a standstill: the answer may be as old as that.
+                            let why = "the state service is not in time";
+                            self.cx.refuse(call.request, 503, why);
+                        } else {
+                            self.on_fresh_view(call);
+                        }
                     }
                 }
                 (503, _) => {
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -55,6 +55,10 @@
         self.cx.token = self.cx.token.max(report.warrant);
         let me = self.cx.settings.member.clone();
         match &mut self.lead {
+            // It may have come in during the standstill, and the grant may have run out.
+            Some(lead) if lead.doubtful() => {
+                self.cx.refuse(id, 503, "it is not certain who leads");
+            }
             Some(lead) if report.warrant <= lead.token => lead.on_checkin(&mut self.cx, id, report),
             // Somebody with a higher token acts for the controllers: not us, and it is not known
             // here who.
@@ -599,7 +603,7 @@
     /// Sends the stops of a machine straight to it.
     fn send_direct(&mut self, cx: &mut Ctx, name: &str) {
         let now = cx.now.steady;
-        if self.direct.contains_key(name) {
+        if self.doubtful() || self.direct.contains_key(name) {
             return;
         }
         let Some(m) = self.machines.get_mut(name) else {
--- a/crates/testkit/src/machines.rs
+++ b/crates/testkit/src/machines.rs
@@ -61,6 +61,8 @@
     pub next_report: Micros,
     pub last_report: Micros,
     pub told_warrant: u64,
+    /// When a higher token last made it report at once.
+    pub token_told: Option<Micros>,
 }
 
 impl Machine {
--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -4,6 +4,7 @@
 //!
 //! ```text
 //! nodes 3                                   controllers
+//! workers report=1.5 lease=10 cancel=30
 //! team NAME cpus=16 max=32
 //! type NAME cpus=8 mem=32 price=1 spot=0.3 boot=10 cap=4 spotcap=2 zones=a,b
 //! machines TYPE zone=a count=2 [spot=yes]   up at the start: n-000000, n-000001, ...
@@ -25,6 +26,7 @@
 //! at 5  request METHOD PATH STATUS [BODY]   a raw request at every node; BODY: hex digits
 //! at 5  crash NODE|leader|all [for=4]
 //! at 5  cut NODE|leader state|workers|peers|all for=10 [hold=yes]
+//! at 5  freeze NODE|leader for=30           it stands still while its clocks run on
 //! at 5  refuse NODE|leader for=10           the state service answers it 503
 //! at 5  state down for=10
 //! at 5  cloud down for=10
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -18,9 +18,6 @@
 const S: Micros = 1_000_000;
 const MS: Micros = 1_000;
 const TICK: Micros = 20 * MS;
-const REPORT: Micros = 1_500 * MS;
-const LEASE: Micros = 10 * S;
-const CANCEL: Micros = 30 * S;
 const WALL: Micros = 1_700_000_000 * S;
 
 /// A process of a controller that made a call.
@@ -93,6 +90,11 @@
 struct Slot {
     node: Option<Node>,
     process: u64,
+    /// Until then the process stands still, and what comes in waits.
+    frozen_until: Micros,
+    /// It stood still: until an answer to a renewal made since, it must not act as a leader.
+    unsure: bool,
+    renewals: BTreeSet<u64>,
 }
 
 /// The world.
@@ -126,6 +128,8 @@
     lose_answer: BTreeSet<String>,
     expected: u64,
     met: u64,
+    /// A rule that was broken within a step.
+    broken: Option<String>,
 }
 
 impl World {
@@ -141,9 +145,9 @@
                 within: Some(60 * S),
                 share: 0.9,
             }],
-            report: REPORT,
-            lease: LEASE,
-            cancel: CANCEL,
+            report: 1_500 * MS,
+            lease: 10 * S,
+            cancel: 30 * S,
             state_rps: 100.0,
             state_write_rps: 20.0,
             value_bytes: 4096,
@@ -181,6 +185,7 @@
             lose_answer: BTreeSet::new(),
             expected: 0,
             met: 0,
+            broken: None,
         };
         let mut nodes = 3;
         for line in &script.setup {
@@ -190,6 +195,9 @@
             w.slots.push(Slot {
                 node: None,
                 process: 0,
+                frozen_until: 0,
+                unsure: false,
+                renewals: BTreeSet::new(),
             });
             w.push(n as Micros * 5 * MS, Ev::Start(n));
         }
@@ -208,6 +216,12 @@
                     .parse()
                     .map_err(|_| format!("line {}: no number", line.number))?;
             }
+            "workers" => {
+                let s = &mut self.settings;
+                s.report = line.time("report", 1.5)?;
+                s.lease = line.time("lease", 10.0)?;
+                s.cancel = line.time("cancel", 30.0)?;
+            }
             "team" => {
                 let team = Team {
                     cpus: line.number("cpus", 0.0)?,
@@ -292,6 +306,7 @@
             next_report: 0,
             last_report: 0,
             told_warrant: 0,
+            token_told: None,
         };
         self.machines.insert(name.clone(), m);
         name
@@ -310,6 +325,7 @@
             }
             self.now = at;
             self.play(ev)
+                .and_then(|()| self.broken.take().map_or(Ok(()), Err))
                 .map_err(|e| format!("at {:.3} s: {e}", at as f64 / 1e6))?;
         }
         if self.met < self.expected {
@@ -323,6 +339,17 @@
     }
 
     fn play(&mut self, ev: Ev) -> Result<(), String> {
+        let to = match &ev {
+            Ev::Input(n, ..) | Ev::Request { node: n, .. } => Some(*n),
+            _ => None,
+        };
+        let wakes = to.map_or(0, |n| self.slots[n].frozen_until);
+        if wakes > self.now {
+            // The order in which a process finds what waited is its own: requests first is worst.
+            let request = matches!(ev, Ev::Request { .. });
+            self.push(if request { wakes } else { wakes + MS }, ev);
+            return Ok(());
+        }
         match ev {
             Ev::Tick => {
                 self.push(self.now + TICK, Ev::Tick);
@@ -342,6 +369,9 @@
                 self.slots[n] = Slot {
                     node: Some(Node::new(settings, Tuning::default(), process)),
                     process,
+                    frozen_until: 0,
+                    unsure: false,
+                    renewals: BTreeSet::new(),
                 };
                 self.step(n, process, Input::Tick);
                 Ok(())
@@ -358,6 +388,7 @@
                     }
                 }
                 self.step(n, process, input);
+                self.settle(n);
                 Ok(())
             }
             Ev::State(caller, method, path, body) => {
@@ -439,8 +470,18 @@
             return;
         }
         let Some(node) = &mut slot.node else { return };
+        if let Input::Reply { call, .. } = &input {
+            if slot.renewals.remove(call) {
+                slot.unsure = false;
+            }
+        }
         let effects = node.step(now, input, &mut NoStopwatch);
         for effect in effects {
+            let what = self.on_unsure_grant(n, &effect);
+            if let (true, Some(what)) = (self.slots[n].unsure, what) {
+                self.broken
+                    .get_or_insert(format!("perch-{n}, back from a standstill, {what}"));
+            }
             match effect {
                 Effect::Answer {
                     id, status, body, ..
@@ -467,6 +508,37 @@
         }
     }
 
+    /// A process that has stepped down may become the leader anew.
+    fn settle(&mut self, n: usize) {
+        if !self.leads(n) {
+            self.slots[n].unsure = false;
+        }
+    }
+
+    /// What of an effect a leader may do only if it is certain of its grant.
+    fn on_unsure_grant(&mut self, n: usize, effect: &Effect) -> Option<&'static str> {
+        match effect {
+            Effect::Answer { id, status, .. } => {
+                let asker = self.requests.get(&(n, *id));
+                let worker = matches!(asker, Some(Asker::Worker { .. } | Asker::Copy));
+                (worker && *status == 200).then_some("answers a worker")
+            }
+            Effect::Call(call) if call.path.ends_with("/extend") => {
+                self.slots[n].renewals.insert(call.id);
+                None
+            }
+            Effect::Call(call) => match call.target {
+                Target::Cloud if call.method == "POST" => Some("rents or releases"),
+                Target::Worker(_) => Some("commands a worker"),
+                // A leader's writes depend on its grant; any node accepts and cancels.
+                Target::State if call.path == "/txn" => String::from_utf8_lossy(&call.body)
+                    .contains("leader")
+                    .then_some("writes as the leader"),
+                _ => None,
+            },
+        }
+    }
+
     /// When a message over this link arrives: never if the link is cut, late if the cut holds it.
     fn arrival(&self, node: usize, what: &str, delay: Micros) -> Option<Micros> {
         let cut = self
@@ -827,7 +899,10 @@
             };
             seen.starts += 1;
             let spec = &seen.spec;
-            if seen.cancelled_at.is_some_and(|at| self.now > at + CANCEL) {
+            if seen
+                .cancelled_at
+                .is_some_and(|at| self.now > at + self.settings.cancel)
+            {
                 return Err(format!("ran_cancelled: {shard} starts"));
             }
             let allowed = spec
@@ -915,7 +990,8 @@
             let due = self.slots[n]
                 .node
                 .as_ref()
-                .is_some_and(|node| node.next_wake() <= now);
+                .is_some_and(|node| node.next_wake() <= now)
+                && self.slots[n].frozen_until <= now;
             if due {
                 self.step(n, process, Input::Tick);
             }
@@ -929,7 +1005,7 @@
             for t in m.live() {
                 let job = t.shard.rsplit_once('/').map_or("", |(j, _)| j);
                 let told = self.jobs.get(job).and_then(|j| j.cancelled_at);
-                if told.is_some_and(|at| now > at + CANCEL) {
+                if told.is_some_and(|at| now > at + self.settings.cancel) {
                     return Err(format!("ran_cancelled: {} is on {}", t.shard, m.name));
                 }
             }
@@ -953,7 +1029,7 @@
         if !m.up || m.gone {
             return Ok(());
         }
-        let (done, changed) = m.advance(now, LEASE, &self.facts);
+        let (done, changed) = m.advance(now, self.settings.lease, &self.facts);
         for shard in done {
             if let Some((job, _)) = shard.rsplit_once('/') {
                 if let Some(seen) = self.jobs.get_mut(job) {
@@ -964,7 +1040,16 @@
         if now < m.hangs_until {
             return Ok(());
         }
-        if changed || m.told_warrant < m.warrant {
+        // A higher token counts as a change once in half a lease.
+        let rested = m
+            .token_told
+            .is_none_or(|at| now >= at + self.settings.lease / 2);
+        if m.told_warrant < m.warrant && rested && m.in_flight.is_none() {
+            m.token_told = Some(now);
+            m.told_warrant = m.warrant;
+            m.next_report = m.next_report.min((m.last_report + S / 2).max(now));
+        }
+        if changed {
             m.next_report = m.next_report.min((m.last_report + S / 2).max(now));
         }
         if let Some((_, sent, _)) = m.in_flight {
@@ -982,7 +1067,7 @@
         let flight = self.seq;
         m.in_flight = Some((flight, now, m.tenure));
         m.last_report = now;
-        m.next_report = now + REPORT;
+        m.next_report = now + self.settings.report;
         m.told_warrant = m.warrant;
         let body = to_cbor(&m.report(now));
         let (node, copied) = (m.node, m.copied);
@@ -1197,6 +1282,12 @@
                 };
                 self.cuts.push(cut);
             }
+            "freeze" => {
+                let n = self.node_named(line.word(1)?)?;
+                self.slots[n].unsure = true;
+                self.slots[n].renewals.clear();
+                self.slots[n].frozen_until = now + line.time("for", 30.0)?;
+            }
             "refuse" => {
                 let n = self.node_named(line.word(1)?)?;
                 self.refused.push((n, now + line.time("for", 10.0)?));
@@ -1232,7 +1323,12 @@
                 let copied = (now + line.time("for", 10.0)?, line.time("late", 10.0)?);
                 self.machine_mut(line.word(1)?)?.copied = copied;
             }
-            "restart" => self.machine_mut(line.word(1)?)?.new_session(now),
+            "restart" => {
+                // A new session is a change, which is reported at once.
+                let m = self.machine_mut(line.word(1)?)?;
+                m.new_session(now);
+                m.next_report = m.next_report.min(now + S / 2);
+            }
             "rented" => {
                 let there = self.machines.get(line.word(1)?).is_some_and(|m| !m.gone);
                 if there != (line.word(2)? == "yes") {
