Ask machines that report seldom directly whether they hear, instead of waiting for luck

Cause: a machine counts as hearing when a report comes within 4 s of our answer, since a worker without an answer goes elsewhere after that. With reports every 4 or 5 s most come later, so a machine back in a new session, or one whose leader follows soon on another (a token is news once in half a lease only), stayed without work, at worst until it was returned as deaf after two leases.

Now a machine that has not shown it a second after our answer gets a direct command without orders, a hundred at a time; its answer 200 shows that commands reach this session. A deaf machine still shows nothing and is returned.

Ruled out: counting a machine that has yet to hear as power for three report intervals instead of 4 s (scenario copies_of_the_deleted: a deleted one's copies then hold up renting).

--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -26,6 +26,11 @@
 const FREE_DELAY: Micros = 8 * SECOND;
 /// A worker waits so long for an answer to its report before it goes to another node.
 const ANSWER_TIME: Micros = 4 * SECOND;
+/// A worker that has our answer tells so soon, because the token was news to it; one that does not
+/// is asked directly whether it hears us.
+const ASK_AFTER: Micros = SECOND;
+/// Most machines that are asked so at once.
+const MOST_ASKED: usize = 100;
 /// Between two direct commands to one machine.
 const DIRECT_INTERVAL: Micros = 2 * SECOND;
 /// Most commands in one answer, so that it stays below the size limit.
@@ -602,6 +607,12 @@
 
     /// Sends the stops of a machine straight to it.
     fn send_direct(&mut self, cx: &mut Ctx, name: &str) {
+        self.send_orders(cx, name, false);
+    }
+
+    /// Sends stops that are due; with `ask` the command goes out even if there are none: its answer
+    /// shows that the machine hears us.
+    fn send_orders(&mut self, cx: &mut Ctx, name: &str, ask: bool) {
         let now = cx.now.steady;
         if self.doubtful() || self.direct.contains_key(name) {
             return;
@@ -623,7 +634,7 @@
                 }
             }
         }
-        if orders.is_empty() {
+        if orders.is_empty() && !ask {
             return;
         }
         let body = DirectOrders {
@@ -657,6 +668,12 @@
         match wire::from_cbor::<Report>(&body) {
             Ok(report) if report.perch == name && self.machines.contains_key(name) => {
                 self.on_report(cx, report, Source::Direct);
+                // It came within the call's time: commands reach this session now.
+                if let (200, Some(m)) = (status, self.machines.get_mut(name)) {
+                    m.hears = true;
+                    m.deaf_since = None;
+                    self.placement.want(cx.now.steady);
+                }
             }
             Ok(_) => warn!("{name}: another worker answers at its address"),
             Err(e) => warn!("{name}: {e}"),
@@ -881,6 +898,20 @@
                     m.closing = true;
                 }
             }
+            // Reports may be further apart than a worker waits for an answer; then they do not show
+            // by themselves that it hears: idle machines once stayed without work until they were
+            // returned.
+            let Some(m) = self.machines.get(&name) else {
+                continue;
+            };
+            if !m.hears
+                && !m.closing
+                && silent < 2 * report
+                && now.saturating_sub(m.last_answer) >= ASK_AFTER
+                && self.direct.len() < MOST_ASKED
+            {
+                self.send_orders(cx, &name, true);
+            }
             let Some(m) = self.machines.get(&name) else {
                 continue;
             };
