Judge lists, silence and the fleet's bound by lists, leases and need, not by fixed numbers

(3) fleet_max was 1,000, below both fleets; it is 20,000, a bound against a runaway only. (4) a leader that hears no worker waited for 2.5 report intervals, 12.5 s of a lease of 26.5 s; from 4 s on a report and a half is enough (unchanged at 1.5 s). (5) at most 2,000 returned machines were remembered against late copies; 20,000 now.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -5,7 +5,7 @@
 use crate::ledger::Rec;
 use crate::node::{Ctx, LeadCall};
 use crate::placement::{permits, slots};
-use crate::workers::{leeway, Machine};
+use crate::workers::{leeway, silent_release, Machine};
 use crate::{micros, Micros, Outcome, Target, SECOND};
 use grebewood_wire as wire;
 use grebewood_wire::http::{
@@ -82,7 +82,8 @@
     types_busy: bool,
     /// Offers without capacity, until when, and how often in a row.
     unavailable: BTreeMap<Offer, (Micros, u32)>,
-    listed_once: bool,
+    /// When the last list was taken in whole.
+    listed_at: Option<Micros>,
     started: Micros,
 }
 
@@ -105,7 +106,7 @@
             types_at: now + 60 * SECOND,
             types_busy: false,
             unavailable: BTreeMap::new(),
-            listed_once: false,
+            listed_at: None,
             started: now,
         }
     }
@@ -378,7 +379,7 @@
     fn released(&mut self, cx: &mut Ctx, name: &str) {
         self.fleet.releasing.remove(name);
         self.fleet.gone.insert(name.to_string(), cx.now.steady);
-        while self.fleet.gone.len() > 2_000 {
+        while self.fleet.gone.len() > 20_000 {
             self.fleet.gone.pop_first();
         }
         self.fleet.boots.remove(name);
@@ -490,7 +491,7 @@
     fn take_list(&mut self, cx: &mut Ctx) {
         let now = cx.now.steady;
         let list = std::mem::take(&mut self.fleet.list);
-        self.fleet.listed_once = true;
+        self.fleet.listed_at = Some(now);
         let old = 4 * cx.settings.list_lag + 30 * SECOND;
         self.find_taken(cx, &list);
         for p in list {
@@ -575,21 +576,26 @@
         let hearing = now.saturating_sub(self.heard_at) < 3 * cx.settings.report;
         let mut release = Vec::new();
         let mut vanished = Vec::new();
+        // What no list shows because there was none has not vanished: boots were once given up during
+        // an outage of the cloud, and rented anew after it.
+        let last_list = self.fleet.listed_at.unwrap_or(0);
         for (name, b) in &self.fleet.boots {
             let limit = self.overdue_after(cx, &b.machine_type);
             if !b.up && now.saturating_sub(b.requested) > limit + limit / 2 {
                 release.push(name.clone());
             } else if b
                 .listed
-                .is_some_and(|at| now.saturating_sub(at) > 3 * lag + 10 * SECOND)
-                && !self.fleet.list_busy
+                .is_some_and(|at| last_list.saturating_sub(at) > 3 * lag + 10 * SECOND)
             {
                 vanished.push(name.clone());
             }
         }
+        // A machine that is cut off for longer than this has lost its tasks; one that is silent is
+        // released as late.
+        let patience = silent_release(cx.settings.lease).max(30 * SECOND);
         if hearing {
             for (name, since) in &self.fleet.mute {
-                if now.saturating_sub(*since) > 30 * SECOND {
+                if now.saturating_sub(*since) > patience {
                     release.push(name.clone());
                 }
             }
--- a/crates/core/src/fleet/decider.rs
+++ b/crates/core/src/fleet/decider.rs
@@ -273,7 +273,7 @@
     pub(super) fn decide(&mut self, cx: &mut Ctx) {
         let now = cx.now.steady;
         // Before the first list, machines of an earlier leader may be missing.
-        if !self.fleet.listed_once && now < self.fleet.started + 10 * SECOND {
+        if self.fleet.listed_at.is_none() && now < self.fleet.started + 10 * SECOND {
             return;
         }
         let Some(catalogue) = cx.catalogue.clone() else {
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -141,7 +141,7 @@
     /// Time between two reads of the cloud's machine list, in microseconds.
     list_interval_us: u64 = 3 * SECOND, 100_000, 600 * SECOND;
     /// Largest number of machines rented at once, booting ones included.
-    fleet_max: u64 = 1_000, 1, 100_000;
+    fleet_max: u64 = 20_000, 1, 100_000;
 }
 
 #[cfg(test)]
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -813,9 +813,10 @@
     /// better lead.
     pub(crate) fn cut_from_workers(&self, cx: &Ctx) -> bool {
         let now = cx.now.steady;
-        // Two reports and a half: a worker that gets no answer for 4 s goes to another node, and
-        // its lease should still hold when it finds the next leader there.
-        let silence = cx.settings.report * 5 / 2;
+        // A worker that gets no answer for 4 s goes to another node, and its lease should still hold
+        // when it finds the next leader there: a report and a half once reports are far apart.
+        let report = cx.settings.report;
+        let silence = (report * 5 / 2).min((report * 3 / 2).max(ANSWER_TIME));
         let since = now.saturating_sub(self.heard_at.max(self.loaded_at));
         if !self.loaded() || cx.settings.siblings.is_empty() || since <= silence {
             return false;
@@ -844,8 +845,7 @@
         self.next_machine_check = now + SECOND;
         let s = &cx.settings;
         let (lease, cancel, report) = (s.lease, s.cancel, s.report);
-        // With drift, and a little for the answer's own time.
-        let lapse = lease + lease / 500 + 1_500 * MILLI;
+        let lapse = lapse(lease);
         // Silence of all machines is our own cut, not theirs.
         let hearing = now.saturating_sub(self.heard_at) < 3 * report;
         let names: Vec<String> = self.machines.keys().cloned().collect();
@@ -890,7 +890,7 @@
                 let cancelled = self.jobs.get(a.job).and_then(|j| j.cancelled);
                 cancelled.is_some_and(|at| now.saturating_sub(at) > cancel / 2)
             });
-            if overdue_cancel || (hearing && silent > lapse + 12 * SECOND) {
+            if overdue_cancel || (hearing && silent > silent_release(lease)) {
                 if self.fleet.release(&name, now) {
                     info!("{name}: released, silent for {} s", silent / SECOND);
                 }
@@ -931,6 +931,17 @@
     }
 }
 
+/// When a worker's lease has certainly run out after our last answer: with drift, and a little for
+/// the answer's own time.
+fn lapse(lease: Micros) -> Micros {
+    lease + lease / 500 + 1_500 * MILLI
+}
+
+/// How long a machine may be silent before it is released.
+pub(crate) fn silent_release(lease: Micros) -> Micros {
+    lapse(lease) + 12 * SECOND
+}
+
 /// Leeway for a task that needs `flush` to save.
 pub(crate) fn leeway(flush: Micros) -> Micros {
     flush + flush / 2 + SECOND
