Let check-ins of machines with room wait for work, within the time that workers wait

Cause: only the answer to a check-in launches anything, and check-ins are 4 or 5 s apart, so work placed on an idle machine waited for half of that. Now the check-in of a machine that has room, and no task likely to end soon, is answered when work for it is on record, or after three quarters of a report interval (3 s at most); placement prefers machines that wait so. Check-ins that wait cost nothing per round: they are kept by machine and by time.

Ruled out: asking workers to report sooner (nothing that the protocol calls a change is ours to give).

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -392,10 +392,7 @@
             self.free(cx, name, 0);
         }
         self.machines.remove(name);
-        if let Some(at) = self.held.iter().position(|h| h.machine == name) {
-            let held = self.held.remove(at);
-            cx.refuse(held.request, 503, "the machine was returned");
-        }
+        self.refuse_held(cx, name, "the machine was returned");
     }
 
     fn on_hire(&mut self, cx: &mut Ctx, name: &str, status: u16, body: &[u8]) {
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -12,7 +12,7 @@
 use crate::placement::{Placement, Usage};
 use crate::stats::Stats;
 use crate::users::{absent, put};
-use crate::workers::{Assignment, Machine, Seen};
+use crate::workers::{Assignment, Held, Machine, Parked, Seen};
 use crate::{Micros, Outcome, Stopwatch, Target, MILLI, SECOND};
 use grebewood_wire as wire;
 use grebewood_wire::http::{
@@ -114,18 +114,6 @@
     }
 }
 
-/// A check-in whose answer waits for a flush.
-#[derive(Clone, Debug)]
-pub struct Held {
-    pub request: u64,
-    /// The round of placement that it waits for.
-    pub round: u64,
-    pub machine: String,
-    pub tenure: u64,
-    pub tally: u64,
-    pub until: Micros,
-}
-
 /// How far the leader has read its state.
 #[derive(Debug, Default)]
 struct Loading {
@@ -171,6 +159,8 @@
     pub held: Vec<Held>,
     /// When the first of them is answered whatever it waits for.
     pub held_until: Micros,
+    /// Check-ins of machines with room that wait for work.
+    pub parked: Parked,
     /// Something happened that any of them may have waited for.
     pub held_stir: bool,
     pub done_pages: DonePages,
@@ -332,8 +322,8 @@
     pub(crate) fn step_down(&mut self, why: &str, resign: bool) {
         let Some(lead) = self.lead.take() else { return };
         warn!("no longer leader with token {}: {why}", lead.token);
-        for held in &lead.held {
-            self.cx.refuse(held.request, 503, "not the leader any more");
+        for request in lead.waiting_checkins() {
+            self.cx.refuse(request, 503, "not the leader any more");
         }
         self.election.leader = None;
         self.election.busy = false;
@@ -351,10 +341,11 @@
         let Some(lead) = &mut self.lead else { return };
         lead.doubtful = true;
         lead.extend_at = now;
-        for held in std::mem::take(&mut lead.held) {
-            self.cx
-                .refuse(held.request, 503, "it is not certain who leads");
+        for request in lead.waiting_checkins() {
+            self.cx.refuse(request, 503, "it is not certain who leads");
         }
+        lead.held.clear();
+        lead.parked = Parked::default();
         self.election.peers.clear();
         self.election.next_probe = now;
     }
@@ -502,6 +493,7 @@
             stats: Stats::default(),
             placement: Placement::default(),
             held: Vec::new(),
+            parked: Parked::default(),
             held_until: 0,
             held_stir: false,
             done_pages: DonePages::new(cx.settings.value_bytes * 9 / 10),
@@ -572,7 +564,8 @@
         if !self.held.is_empty() {
             at = at.min(self.held_until);
         }
-        at.min(self.placement.next_at)
+        at.min(self.parked.next_until())
+            .min(self.placement.next_at)
             .min(self.next_machine_check)
             .min(self.fleet.next_wake(cx))
             .min(self.progress_at)
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -252,7 +252,7 @@
             } => self.on_request(id, door, &method, &path, &body),
             Input::Gone { id } => {
                 if let Some(lead) = &mut self.lead {
-                    lead.held.retain(|h| h.request != id);
+                    lead.forget_checkin(id);
                 }
             }
             Input::Reply { call, outcome } => self.on_reply(call, outcome),
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -349,8 +349,9 @@
                 && used.1 + spec.accelerators * n <= team.gpus_max + EPS
         };
         let expected = self.stats.expected_run(&spec);
-        // Places in `open`, those with the image first, then spot, then the fullest.
-        let mut candidates: Vec<((bool, bool, i64), usize)> = open
+        // Places in `open`, those with the image first, then those that wait for work at our door,
+        // then spot, then the fullest.
+        let mut candidates: Vec<(Preference, usize)> = open
             .iter()
             .enumerate()
             .filter(|(_, o)| {
@@ -363,7 +364,8 @@
                     .machines
                     .get(&o.name)
                     .is_some_and(|m| m.has_image(&spec.bundle));
-                ((!image, !o.spot, (o.free.0 * 1e3) as i64), at)
+                let away = !self.parked.contains(&o.name);
+                ((!image, away, !o.spot, (o.free.0 * 1e3) as i64), at)
             })
             .collect();
         candidates.sort();
@@ -424,7 +426,7 @@
         &self,
         ix: JobIx,
         spec: &Submission,
-        candidates: &[((bool, bool, i64), usize)],
+        candidates: &[(Preference, usize)],
         open: &[Open],
         fixed_zone: Option<&str>,
     ) -> u64 {
@@ -450,7 +452,7 @@
         &self,
         ix: JobIx,
         spec: &Submission,
-        candidates: &[((bool, bool, i64), usize)],
+        candidates: &[(Preference, usize)],
         open: &[Open],
     ) -> Option<String> {
         if !spec.one_zone {
@@ -505,6 +507,8 @@
         m.idle_since = now;
         self.page_mut(page).add(name, &assignment);
         self.hold(name, assignment);
+        // Its answer carries the launch once the page is written.
+        self.unpark(cx, name);
     }
 
     /// Stops tasks of lower priority that can save, for jobs that wait for room or for their
@@ -667,6 +671,9 @@
     memory: f64,
 }
 
+/// What is sorted by to choose a machine, the best first.
+type Preference = (bool, bool, bool, i64);
+
 /// CPUs, accelerators and memory.
 type Room = (f64, f64, f64);
 
@@ -688,7 +695,7 @@
 /// Free slots by zone, among the candidates.
 fn room_by_zone<'a>(
     spec: &Submission,
-    candidates: &[((bool, bool, i64), usize)],
+    candidates: &[(Preference, usize)],
     open: &'a [Open],
 ) -> BTreeMap<&'a str, u64> {
     let mut zones: BTreeMap<&str, u64> = BTreeMap::new();
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -1,7 +1,7 @@
 //! Machines as their workers report them, and what is known to be on them.
 
 use crate::jobs::{error_backoff, parse_task, JobIx, EPS};
-use crate::leadership::{Held, Lead};
+use crate::leadership::Lead;
 use crate::ledger::Rec;
 use crate::node::{Ctx, LeadCall, Node};
 use crate::{micros, Micros, Outcome, Target, MILLI, SECOND};
@@ -13,8 +13,10 @@
 use log::{error, info, warn};
 use std::collections::VecDeque;
 
+mod held;
 mod machine;
 
+pub use held::{Held, Parked};
 pub use machine::{Assignment, Machine, Reap, Seen, Stop};
 
 /// How long a check-in may wait for a flush before it is answered with what there is.
@@ -128,10 +130,7 @@
         }
         self.heard_at = now;
         // A worker reports one at a time: the one before was given up.
-        if let Some(at) = self.held.iter().position(|h| h.machine == machine) {
-            let held = self.held.remove(at);
-            cx.refuse(held.request, 503, "overtaken by a later report");
-        }
+        self.refuse_held(cx, &machine, "overtaken by a later report");
         let Some(m) = self.machines.get_mut(&machine) else {
             return self.answer_checkin(cx, request, Vec::new());
         };
@@ -151,6 +150,9 @@
         }
         if self.may_be_answered(cx, &held) {
             let orders = self.orders(cx, &held);
+            if orders.is_empty() && self.may_park(cx, &held.machine) {
+                return self.park(cx, held);
+            }
             return self.answer_checkin(cx, request, orders);
         }
         if self.held.is_empty() {
@@ -712,31 +714,6 @@
         }
     }
 
-    /// Answers the check-ins that wait for nothing any more, or have waited long enough.
-    pub(crate) fn run_held(&mut self, cx: &mut Ctx) {
-        let now = cx.now.steady;
-        if self.held.is_empty() || !(self.held_stir || now >= self.held_until) {
-            return;
-        }
-        self.held_stir = false;
-        for h in std::mem::take(&mut self.held) {
-            if self.may_be_answered(cx, &h) {
-                let orders = self.orders(cx, &h);
-                self.answer_checkin(cx, h.request, orders);
-            } else {
-                self.held.push(h);
-            }
-        }
-        // They were pushed in the order in which they came.
-        self.held_until = self.held.first().map_or(0, |h| h.until);
-    }
-
-    fn may_be_answered(&self, cx: &Ctx, h: &Held) -> bool {
-        cx.now.steady >= h.until
-            || !cx.in_contact(2 * SECOND)
-            || (self.placement.rounds >= h.round && !self.waits_for_flush(&h.machine))
-    }
-
     fn is_durable(&self, after: &[(Rec, u64)], job: Option<JobIx>) -> bool {
         // Once a job is over, its terminal record stands for all of its tasks.
         let over = job.is_some_and(|ix| self.jobs.get(ix).is_none());
@@ -745,16 +722,6 @@
         })
     }
 
-    fn waits_for_flush(&self, name: &str) -> bool {
-        self.machines.get(name).is_some_and(|m| {
-            m.assignments.iter().any(|a| {
-                a.launched.is_none()
-                    && a.stop.is_none()
-                    && !self.ledger.is_durable(&Rec::Page(a.page), a.written)
-            })
-        })
-    }
-
     /// The commands for the answer to a check-in. Launches go only here: such an answer is never
     /// carried out late. Each launched task is on record, each reaped outcome too.
     fn orders(&mut self, cx: &Ctx, held: &Held) -> Vec<Order> {
