Count a cancellation's time from its record, whoever leads

Cause: a leader released the machine of a cancelled task that it could not reach half of cancel_s after it had itself learnt of the cancellation. Each new leader began anew, so with leaders that follow one another (a rolling restart, a crash each 15 s) a hanging machine kept its task beyond cancel_s: ran_cancelled.

Now the record's time of day counts (it is bound to true time by the settings' bound), also for what happened before the process started. A new leader still gives the machines one report's time to be stopped without a release, up to three quarters of cancel_s.

Ruled out: the machine's lease, which cannot be counted on while it hangs.

--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -197,8 +197,8 @@
     pub done_count: u64,
     pub taken_count: u64,
     cursor: u64,
-    /// When the cancellation was learnt.
-    pub cancelled: Option<Micros>,
+    /// Steady time of the cancellation, as far as known; may lie before the process's start.
+    pub cancelled: Option<i64>,
     /// Set while its terminal record is being written.
     pub ending: Option<Ending>,
     /// Failures in a row without a success, and when to try again.
@@ -371,6 +371,11 @@
         }
     }
 
+    /// Time since the cancellation, if there is one.
+    pub fn cancelled_for(&self, now: Micros) -> Option<Micros> {
+        self.cancelled.map(|at| (now as i64 - at).max(0) as Micros)
+    }
+
     /// Time since acceptance.
     pub fn age(&self, now: Micros) -> Micros {
         (now as i64 - self.age_base).max(0) as Micros
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -572,8 +572,9 @@
     }
 
     /// Notes that the job is cancelled: nothing of it starts any more, and what may run is
-    /// stopped.
-    pub(crate) fn on_cancelled(&mut self, cx: &mut Ctx, id: &str) {
+    /// stopped. `record` says since when: the time to `cancel_s` runs on whoever leads. With every
+    /// new leader it once began anew, and a machine that could not be reached was kept too long.
+    pub(crate) fn on_cancelled(&mut self, cx: &mut Ctx, id: &str, record: Option<&CancelRecord>) {
         let Some(ix) = self.jobs.find(id) else {
             return;
         };
@@ -584,7 +585,8 @@
         if job.cancelled.is_some() {
             return;
         }
-        job.cancelled = Some(now);
+        let ago = record.map_or(0, |r| cx.now.wall.saturating_sub(r.cancelled_us));
+        job.cancelled = Some(now as i64 - ago as i64);
         job.ending = None;
         self.stop_job(cx, ix);
         self.end_if_over(cx, ix);
@@ -711,7 +713,8 @@
                 Some(JobKey::Live(_)) => self.add_job(cx, key, value, event.stamp),
                 Some(JobKey::Cancelled(id)) if self.jobs.find(id).is_some() => {
                     self.ledger.stamps.insert(key.clone(), event.stamp);
-                    self.on_cancelled(cx, id);
+                    let record = from_value(value).ok();
+                    self.on_cancelled(cx, id, record.as_ref());
                 }
                 _ => {}
             }
--- a/crates/core/src/leadership/flush.rs
+++ b/crates/core/src/leadership/flush.rs
@@ -159,7 +159,7 @@
                 }
                 for key in failed {
                     if let Some(JobKey::Cancelled(id)) = JobKey::parse(&key) {
-                        self.on_cancelled(cx, id);
+                        self.on_cancelled(cx, id, None);
                     }
                     self.ledger.stale.push(key);
                 }
--- a/crates/core/src/leadership/loading.rs
+++ b/crates/core/src/leadership/loading.rs
@@ -173,21 +173,17 @@
             ..Watch::default()
         };
         self.watches.insert(JOB, watch);
-        let ids: Vec<String> = cancels
-            .iter()
-            .filter_map(|e| match JobKey::parse(&e.k) {
-                Some(JobKey::Cancelled(id)) => Some(id.to_string()),
-                _ => None,
-            })
-            .collect();
         for e in &cancels {
-            if let Err(err) = from_value::<CancelRecord>(&e.value) {
-                error!("record {}: {err}; taken as a cancellation", e.k);
-            }
             self.ledger.stamps.insert(e.k.clone(), e.stamp);
         }
-        for id in ids {
-            self.on_cancelled(cx, &id);
+        for e in &cancels {
+            let record = from_value::<CancelRecord>(&e.value);
+            if let Err(err) = &record {
+                error!("record {}: {err}; taken as a cancellation", e.k);
+            }
+            if let Some(JobKey::Cancelled(id)) = JobKey::parse(&e.k) {
+                self.on_cancelled(cx, id, record.ok().as_ref());
+            }
         }
         let complete: Vec<JobIx> = self
             .jobs
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -332,7 +332,7 @@
         // The cancellation is durable, and the job can only become aborted now.
         self.past.insert(&call.job, past.clone());
         if let Some(lead) = &mut self.lead {
-            lead.on_cancelled(&mut self.cx, &call.job);
+            lead.on_cancelled(&mut self.cx, &call.job, None);
         }
         self.user_past(call.clone(), &past);
     }
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -815,6 +815,8 @@
         let lapse = lapse(lease);
         // Silence of all machines is our own cut, not theirs.
         let hearing = now.saturating_sub(self.heard_at) < 3 * report;
+        // A new leader waits for the machines' first reports, to stop what it can without a release.
+        let new = now.saturating_sub(self.loaded_at) < report * 3 / 2 + SECOND;
         let names: Vec<String> = self.machines.keys().cloned().collect();
         for name in names {
             let Some(m) = self.machines.get_mut(&name) else {
@@ -854,8 +856,8 @@
                 continue;
             };
             let overdue_cancel = m.assignments.iter().any(|a| {
-                let cancelled = self.jobs.get(a.job).and_then(|j| j.cancelled);
-                cancelled.is_some_and(|at| now.saturating_sub(at) > cancel / 2)
+                let ago = self.jobs.get(a.job).and_then(|j| j.cancelled_for(now));
+                ago.is_some_and(|ago| ago > cancel / 2 && (!new || ago > cancel * 3 / 4))
             });
             if overdue_cancel || (hearing && silent > silent_release(lease)) {
                 if self.fleet.release(&name, now) {
