Let a job that keeps failing on a faulty machine have another one

Cause: only one job's tasks failed on a faulty machine, so the machine was not called faulty (that takes two jobs); the job was left out of the decider's work after three failures, its machines were returned as idle, and it waited for good: an accepted job that never runs.

Now such a job counts as the one task that it may try, and a machine on which four of a job's tasks fail in a row is returned, at most two for one job, since a job submitted with a mistake fails everywhere.

Ruled out: keeping the job off the machine only; it would wait there for room elsewhere that nobody rents.

--- a/crates/core/src/fleet/decider.rs
+++ b/crates/core/src/fleet/decider.rs
@@ -125,7 +125,9 @@
         let mut planned: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
         let mut work = Vec::new();
         for (_, j) in self.jobs.iter() {
-            if j.waiting() == 0 || j.errors >= 3 {
+            // One that keeps failing needs a machine for its next try: left out, it once had none for
+            // good after its last was returned.
+            if j.placeable() == 0 {
                 continue;
             }
             let Some(team) = cx.settings.teams.get(&j.spec.owner) else {
@@ -164,7 +166,7 @@
                     ((max * rounds - used - planned) / need).max(0.0)
                 }
             };
-            let n = (j.waiting() as f64)
+            let n = (j.placeable() as f64)
                 .min(room(team.cpus_max, used.0, plan.0, j.spec.vcpus))
                 .min(room(team.gpus_max, used.1, plan.1, j.spec.accelerators));
             if n < 0.5 {
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -203,6 +203,8 @@
     pub ending: Option<Ending>,
     /// Failures in a row without a success, and when to try again.
     pub errors: u32,
+    /// Machines that were returned because its tasks alone kept failing there.
+    pub blamed: u32,
     pub retry_at: Micros,
     /// Live assignments by zone.
     pub zones: BTreeMap<String, u32>,
@@ -234,6 +236,7 @@
             cancelled: None,
             ending: None,
             errors: 0,
+            blamed: 0,
             retry_at: 0,
             zones: BTreeMap::new(),
             running: 0,
@@ -376,6 +379,20 @@
         self.cancelled.map(|at| (now as i64 - at).max(0) as Micros)
     }
 
+    /// Whether its tasks keep failing: then they are tried one at a time.
+    pub fn keeps_failing(&self) -> bool {
+        self.errors >= 3
+    }
+
+    /// Tasks that may be placed now, as far as the job itself is concerned.
+    pub fn placeable(&self) -> u64 {
+        if !self.keeps_failing() {
+            return self.waiting();
+        }
+        let live: u32 = self.zones.values().sum();
+        self.waiting().min(1u64.saturating_sub(live as u64))
+    }
+
     /// Time since acceptance.
     pub fn age(&self, now: Micros) -> Micros {
         (now as i64 - self.age_base).max(0) as Micros
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -330,15 +330,11 @@
             used.0 + job.spec.vcpus * n <= team.cpus_max + EPS
                 && used.1 + job.spec.accelerators * n <= team.gpus_max + EPS
         };
-        let mut left = job.waiting();
+        // A job whose tasks keep failing is tried with one task at a time.
+        let mut left = job.placeable();
         if !in_quota(used, 1.0) || left == 0 {
             return;
         }
-        // A job whose tasks keep failing is tried with one task at a time.
-        if job.errors >= 3 {
-            let live: u32 = job.zones.values().sum();
-            left = left.min(1u64.saturating_sub(live as u64));
-        }
         // Ahead of its turn a job only begins.
         if job.must_begin(cx.now.steady) {
             left = left.min(job.beginning());
@@ -520,7 +516,7 @@
         let wants = |j: &Job| {
             let waited = j.waiting_since.map_or(0, |at| now.saturating_sub(at));
             j.spec.precedence > Precedence::Idle
-                && j.errors < 3
+                && !j.keeps_failing()
                 && j.waiting() > 0
                 && waited >= cx.tuning.preempt_after_us
                 && j.target(cx, self.need(cx, j)).is_some()
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -425,14 +425,17 @@
             ("error", Some(job)) => {
                 job.errors += 1;
                 job.retry_at = now + error_backoff(job.errors);
-                if !m.errors.contains(&job.id) {
-                    m.errors.push(job.id.clone());
-                }
-                // Tasks of different jobs fail here, and none has succeeded in between.
-                if m.errors.len() >= 2 && !m.closing {
+                m.errors.push(job.id.clone());
+                // Tasks of different jobs fail here, and none has succeeded in between; or those of
+                // one job do, which alone says little: it is blamed on two machines at the most.
+                let others = m.errors.iter().any(|id| *id != job.id);
+                let often = m.errors.len() >= 4 && job.blamed < 2;
+                if (others || often) && !m.closing {
                     warn!("{name}: faulty, to be returned");
                     m.closing = true;
+                    job.blamed += u32::from(!others);
                 }
+                m.errors.truncate(8);
                 info!("{shard}: error on {name}");
             }
             ("unknown", Some(job)) => {
--- a/crates/core/src/workers/machine.rs
+++ b/crates/core/src/workers/machine.rs
@@ -114,7 +114,7 @@
     pub fetch_gb_per_s: f64,
     /// To be returned: nothing is placed on it any more.
     pub closing: bool,
-    /// Errors in a row without a success, of different jobs.
+    /// Jobs whose tasks failed in a row without a success, a name for each task.
     pub errors: Vec<String>,
     /// Nothing is placed on it before this time, after it refused a task.
     pub shy_until: Micros,
