Keep room for a job that is to begin ahead of its turn until a whole task fits

Cause: a job that had waited for a minute was first in the queue, but a task of 4 CPUs does not fit the 2 that a narrow task leaves, and the next narrow task took them: where capacity ends, a job of wide tasks could wait for good.

Now the machine with the most room that such a job could use is kept from the jobs after it in that round, so that its room adds up; one machine for each such job.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -275,6 +275,7 @@
                 break;
             }
             self.place_job(cx, ix, &mut open);
+            self.keep_for_beginning(cx, ix, &mut open);
         }
         self.placement.backlog = queue
             .iter()
@@ -315,6 +316,30 @@
             .collect()
     }
 
+    /// A job that is to begin ahead of its turn and found no room for a task: the machine with the most
+    /// room that it could use is kept from the jobs after it, so that the room adds up. Narrow tasks
+    /// once took each slot as it became free, and a job of wide ones began after ten minutes.
+    fn keep_for_beginning(&self, cx: &Ctx, ix: JobIx, open: &mut Vec<Open>) {
+        let Some(job) = self.jobs.get(ix) else { return };
+        if !job.must_begin(cx.now.steady) || !self.has_quota(cx, ix) {
+            return;
+        }
+        let spec = &job.spec;
+        let most_room = open
+            .iter()
+            .enumerate()
+            .filter(|(_, o)| permits(cx, spec, &o.machine_type, &o.zone, o.spot))
+            .max_by(|(_, a), (_, b)| {
+                a.free
+                    .0
+                    .total_cmp(&b.free.0)
+                    .then_with(|| b.name.cmp(&a.name))
+            });
+        if let Some((at, _)) = most_room {
+            open.remove(at);
+        }
+    }
+
     /// Places as many tasks of a job as the team's limit and the machines allow.
     fn place_job(&mut self, cx: &mut Ctx, ix: JobIx, open: &mut Vec<Open>) {
         let Some(job) = self.jobs.get(ix) else { return };
