Let no more work pile up than an aim on starting allows, where there is one

Cause: the decider planned for aims on finishing only, and let waiting work pile up to 240 s for each machine.

Now the bound is half of the longest such aim that is longer than a boot (backlog_share).

--- a/crates/core/src/fleet/decider.rs
+++ b/crates/core/src/fleet/decider.rs
@@ -105,6 +105,16 @@
 }
 
 impl Lead {
+    /// The shortest average boot of all types.
+    fn least_boot(&self, cx: &Ctx) -> Micros {
+        cx.catalogue
+            .iter()
+            .flatten()
+            .map(|t| self.stats.boot_time(&t.name, micros(t.startup_s)))
+            .min()
+            .unwrap_or(30 * SECOND)
+    }
+
     /// The work that waits, job by job; with `haste` as it is planned for cheap machines.
     fn waiting_work<'a>(&'a self, cx: &Ctx, haste: bool) -> Vec<Work<'a>> {
         let now = cx.now.steady;
@@ -115,13 +125,7 @@
             ),
             false => (cx.tuning.deadline_share, cx.tuning.late_deadline_us),
         };
-        let boot = cx
-            .catalogue
-            .iter()
-            .flatten()
-            .map(|t| self.stats.boot_time(&t.name, micros(t.startup_s)))
-            .min()
-            .unwrap_or(30 * SECOND);
+        let boot = self.least_boot(cx);
         let mut planned: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
         let mut work = Vec::new();
         for (_, j) in self.jobs.iter() {
@@ -397,7 +401,13 @@
             })
             .sum();
         let ready: f64 = supply.iter().map(|s| s.machines).sum();
-        let bound = cx.tuning.backlog_us as f64 / 1e6;
+        // With more waiting work than that for each machine, its last tasks start too late.
+        let boot = self.least_boot(cx);
+        let bound = match cx.settings.longest_start(boot) {
+            Some(start) => (start as f64 * cx.tuning.backlog_share) as Micros,
+            None => Micros::MAX,
+        };
+        let bound = bound.min(cx.tuning.backlog_us) as f64 / 1e6;
         let planned: u64 = plan.values().sum();
         let fleet = self.machines.len() + self.fleet.booting() + planned as usize;
         let room = (cx.tuning.fleet_max as usize).saturating_sub(fleet);
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -53,6 +53,16 @@
         self.objectives.iter().any(|o| o.kind == "guarantee")
     }
 
+    /// The longest time that an aim allows any class's tasks to start in, if it is longer than
+    /// `boot`: a shorter one cannot be met by renting.
+    pub fn longest_start(&self, boot: Micros) -> Option<Micros> {
+        let starts = self.objectives.iter().filter(|o| o.kind == "wait");
+        starts
+            .filter_map(|o| o.within)
+            .filter(|within| *within > boot)
+            .max()
+    }
+
     /// Whether an aim counts how soon tasks of the class start.
     pub fn starts_count(&self, class: &str) -> bool {
         self.objectives
@@ -132,6 +142,9 @@
     /// Longest time that the waiting work may take all machines, however late it may be finished,
     /// in microseconds; beyond it more are rented.
     backlog_us: u64 = 240 * SECOND, SECOND, 86_400 * SECOND;
+    /// The same as a share of the longest time that an aim allows tasks to start in, where there is
+    /// such an aim that is longer than a boot.
+    backlog_share: f64 = 0.5, 0.05, 10.0;
     /// What the risk of losing a spot machine adds to its price, as a factor.
     spot_risk: f64 = 1.25, 1.0, 10.0;
     /// How late a boot may be, as a multiple of the average, before it counts as overdue.
--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -5,6 +5,7 @@
 //! ```text
 //! nodes 3                                   controllers
 //! workers report=1.5 lease=10 cancel=30
+//! aim wait CLASS within=60                 beside: the class work finishes within 60 s
 //! team NAME cpus=16 max=32
 //! type NAME cpus=8 mem=32 price=1 spot=0.3 boot=10 cap=4 spotcap=2 zones=a,b
 //! machines TYPE zone=a count=2 [spot=yes]   up at the start: n-000000, n-000001, ...
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -222,6 +222,15 @@
                 s.lease = line.time("lease", 10.0)?;
                 s.cancel = line.time("cancel", 30.0)?;
             }
+            "aim" => {
+                let aim = Objective {
+                    kind: line.word(1)?.into(),
+                    class: line.word(2)?.into(),
+                    within: Some(line.time("within", 60.0)?),
+                    share: 0.9,
+                };
+                self.settings.objectives.push(aim);
+            }
             "team" => {
                 let team = Team {
                     cpus: line.number("cpus", 0.0)?,
