Take a job with completed tasks as begun when a leader takes it over

Now a job with completed tasks counts as begun, at its age at the change at the latest; one with tasks on machines when they report.

--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -478,6 +478,11 @@
         self.slots.iter().map(|(ix, job)| (*ix, job))
     }
 
+    /// The places of all jobs.
+    pub fn indices(&self) -> Vec<JobIx> {
+        self.slots.keys().copied().collect()
+    }
+
     pub fn len(&self) -> usize {
         self.slots.len()
     }
--- a/crates/core/src/leadership/loading.rs
+++ b/crates/core/src/leadership/loading.rs
@@ -194,6 +194,12 @@
         for ix in complete {
             self.end_if_over(cx, ix);
         }
+        // What has completed tasks has begun, at this age at the latest.
+        for ix in self.jobs.indices() {
+            if let Some(j) = self.jobs.get_mut(ix).filter(|j| j.done_count > 0) {
+                j.began_at = Some(j.age(now));
+            }
+        }
         info!(
             "loaded {} jobs, {} machines with tasks",
             self.jobs.len(),
