Hold no socket for a command to a worker longer than two seconds

Cause: a new leader may ask a thousand machines whether they hear it, and each answer left a connection open for 20 s beside the machine's own.

Now such a connection closes after 2 s, and when no socket is left an idle one of ours makes room.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -41,6 +41,8 @@
 const IDLE_TIME: Micros = 75 * SECOND;
 /// An idle connection of ours is closed after this time.
 const CLIENT_IDLE_TIME: Micros = 20 * SECOND;
+/// The same for one to a worker: with a thousand machines, commands to each would hold as many sockets.
+const WORKER_IDLE_TIME: Micros = 2 * SECOND;
 /// An answer must be taken in this time.
 const WRITE_TIME: Micros = 10 * SECOND;
 
@@ -294,6 +296,9 @@
                 }
                 if let Some(idle) = self.idle.get_mut(&addr) {
                     idle.retain(|k| *k != key);
+                    if idle.is_empty() {
+                        self.idle.remove(&addr);
+                    }
                 }
                 if let Some(id) = call {
                     self.call_broken(id, connected, reused);
@@ -647,8 +652,18 @@
         }
     }
 
+    /// Closes an idle connection of ours to make room for another.
+    fn close_idle_client(&mut self) -> bool {
+        let idle = self.idle.values().find_map(|keys| keys.first().copied());
+        if let Some(key) = idle {
+            self.close(key);
+        }
+        idle.is_some()
+    }
+
     fn connect(&mut self, addr: SocketAddr) -> Option<usize> {
-        if self.conns.len() >= self.endpoints.socket_limit.saturating_sub(8) {
+        let limit = self.endpoints.socket_limit.saturating_sub(8);
+        if self.conns.len() >= limit && !self.close_idle_client() {
             debug!("no socket left for {addr}");
             return None;
         }
@@ -735,8 +750,13 @@
                 if response.close || surplus || ended {
                     self.close(key);
                 } else {
+                    let worker = |f: &Flight| matches!(f.call.target, Target::Worker(_));
+                    let idle = match self.flights.get(&id).is_some_and(worker) {
+                        true => WORKER_IDLE_TIME,
+                        false => CLIENT_IDLE_TIME,
+                    };
                     self.idle.entry(addr).or_default().push(key);
-                    self.set_deadline(key, now + CLIENT_IDLE_TIME);
+                    self.set_deadline(key, now + idle);
                 }
                 self.finish(
                     id,
