Answer a submission that state could not hold with 400, once

Cause: read off the code. Now the submission is malformed from the start. Unit test a_record_that_state_could_not_hold_is_refused_for_good.

--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -108,6 +108,17 @@
     Ok(())
 }
 
+/// Checks that the job's record fits a value of the state service. Only `builds` can be long: one
+/// beyond the limit was once answered 503 again and again, since state refused the record.
+pub fn check_size(s: &Submission, value_bytes: usize) -> Result<(), Refused> {
+    let names = s.builds.iter().flatten();
+    let builds: usize = names.map(|name| format!("{name:?},").len()).sum();
+    match builds > value_bytes / 2 {
+        true => Err(Refused::Invalid("builds: too long to be kept".into())),
+        false => Ok(()),
+    }
+}
+
 /// Whether one task of the job fits the machine type and the job permits it.
 pub fn fits_type(s: &Submission, t: &MachineType) -> bool {
     s.builds.as_ref().is_none_or(|b| b.contains(&t.name))
@@ -505,3 +516,40 @@
         n => (SECOND << (n - 3).min(5)).min(30 * SECOND),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_record_that_state_could_not_hold_is_refused_for_good() {
+        let mut s = Submission {
+            uid: "req-1".into(),
+            workclass: "work".into(),
+            owner: "t".into(),
+            shape: "batch".into(),
+            precedence: Precedence::Normal,
+            shards: 1,
+            vcpus: 1.0,
+            accelerators: 0.0,
+            memory_gb: 1.0,
+            bundle: "img".into(),
+            pull_gb: 0.5,
+            builds: Some(vec!["g8".into(); 20]),
+            yard: None,
+            one_zone: false,
+            spread: false,
+            loaner: true,
+            expected_s: 1.0,
+            savepoint_s: 0.0,
+            flush_s: 0.0,
+            due_s: None,
+        };
+        assert_eq!(check_fields(&s), Ok(()));
+        assert_eq!(check_size(&s, 4096), Ok(()));
+        s.builds = Some(vec!["g".repeat(100); 40]);
+        assert_eq!(check_fields(&s), Ok(()));
+        assert!(check_size(&s, 4096).is_err());
+        assert_eq!(check_size(&s, 16_384), Ok(()));
+    }
+}
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -5,7 +5,7 @@
 //! key; when it is over, one transaction puts `past/<id>` and deletes what is under `job/<id>`. So
 //! a job that is not live in the view, and after that has no end on record, was never accepted.
 
-use crate::jobs::{check_fields, check_possible, valid_id, Refused};
+use crate::jobs::{check_fields, check_possible, check_size, valid_id, Refused};
 use crate::ledger::Rec;
 use crate::node::{Ctx, Node, Pending};
 use crate::{Micros, Outcome};
@@ -89,7 +89,9 @@
             Ok(s) => s,
             Err(e) => return self.cx.refuse(id, 400, &e.to_string()),
         };
-        if let Err(Refused::Invalid(why)) = check_fields(&submission) {
+        let checked = check_fields(&submission)
+            .and_then(|()| check_size(&submission, self.cx.settings.value_bytes));
+        if let Err(Refused::Invalid(why)) = checked {
             return self.cx.refuse(id, 400, &why);
         }
         let job = submission.uid.clone();
