--- a/crates/core/src/fleet/decider.rs
+++ b/crates/core/src/fleet/decider.rs
@@ -354,7 +354,7 @@
             .zip(&have)
             .map(|(w, p)| (w.n - p).max(0.0))
             .collect();
-        let mut offers: Vec<(f64, bool, Offer, Vec<f64>)> = Vec::new();
+        let mut offers: Vec<(f64, Offer, Vec<f64>)> = Vec::new();
         let per_cpu = |t: &MachineType, price: f64| price / t.vcpus.max(EPS);
         let cheapest = catalogue
             .iter()
@@ -380,12 +380,11 @@
                             && h.record.zone == offer.1
                             && h.record.spot == offer.2
                     });
-                    let cheap = per_cpu(t, price) <= cheapest * 1.5;
-                    if closed || asked || (haste && !cheap) {
+                    if closed || asked || (haste && per_cpu(t, price) > cheapest * 1.5) {
                         continue;
                     }
                     let risk = if spot { cx.tuning.spot_risk } else { 1.0 };
-                    offers.push((price * risk, cheap, offer, power_of(t, zone, spot)));
+                    offers.push((price * risk, offer, power_of(t, zone, spot)));
                 }
             }
         }
@@ -404,14 +403,11 @@
         let ready: f64 = supply.iter().map(|s| s.machines).sum();
         // With more waiting work than that for each machine, its last tasks start too late.
         let boot = self.least_boot(cx);
-        let start = cx.settings.longest_start(boot);
-        let bound = |share: f64| {
-            let of_aim = start.map_or(Micros::MAX, |s| (s as f64 * share) as Micros);
-            of_aim.min(cx.tuning.backlog_us) as f64 / 1e6
+        let bound = match cx.settings.longest_start(boot) {
+            Some(start) => (start as f64 * cx.tuning.backlog_share) as Micros,
+            None => Micros::MAX,
         };
-        // Cheap machines soon, the others only for what would take these far too long.
-        let bound_cheap = bound(cx.tuning.backlog_share_cheap);
-        let bound = bound(cx.tuning.backlog_share);
+        let bound = bound.min(cx.tuning.backlog_us) as f64 / 1e6;
         let planned: u64 = plan.values().sum();
         let fleet = self.machines.len() + self.fleet.booting() + planned as usize;
         let room = (cx.tuning.fleet_max as usize).saturating_sub(fleet);
@@ -419,10 +415,9 @@
             // Far deadlines let power cover any work on paper: a few machines once worked off a
             // growing queue for a whole day.
             let machines = ready + (self.fleet.booting() + planned as usize + added) as f64;
+            let piles_up = backlog > machines * bound;
             let mut best: Option<(f64, usize)> = None;
-            for (at, (price, cheap, offer, p)) in offers.iter().enumerate() {
-                let bound = if *cheap { bound_cheap } else { bound };
-                let piles_up = backlog > machines * bound;
+            for (at, (price, offer, p)) in offers.iter().enumerate() {
                 if plan.get(offer).is_some_and(|n| *n >= RENT_ROUND) {
                     continue;
                 }
@@ -453,7 +448,7 @@
                 }
             }
             let Some((_, at)) = best else { break };
-            let (_, _, offer, p) = &offers[at];
+            let (_, offer, p) = &offers[at];
             for (g, p) in gap.iter_mut().zip(p) {
                 *g = (*g - p).max(0.0);
             }
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -144,9 +144,7 @@
     backlog_us: u64 = 240 * SECOND, SECOND, 86_400 * SECOND;
     /// The same as a share of the longest time that an aim allows tasks to start in, where there is
     /// such an aim that is longer than a boot.
-    backlog_share: f64 = 0.6, 0.05, 10.0;
-    /// The same for machines that are about as cheap as the cheapest.
-    backlog_share_cheap: f64 = 0.15, 0.05, 10.0;
+    backlog_share: f64 = 0.5, 0.05, 10.0;
     /// What the risk of losing a spot machine adds to its price, as a factor.
     spot_risk: f64 = 1.25, 1.0, 10.0;
     /// How late a boot may be, as a multiple of the average, before it counts as overdue.
