Take a leader's own standstill for no cut from its workers

The time since a worker was last heard counted the standstill.

Now it counts from the end of the standstill. In the scenario standstill_in_outage the leader goes on, once its peers have shown that the outage is as old as it knows, and no task is lost; without this nobody leads.

Ruled out: the doubt itself, which the peers' answers end within a second there.

--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -341,6 +341,8 @@
         let Some(lead) = &mut self.lead else { return };
         lead.doubtful = true;
         lead.extend_at = now;
+        // Nobody could be heard meanwhile: that is no sign of being cut off from the workers.
+        lead.heard_at = now;
         for request in lead.waiting_checkins() {
             self.cx.refuse(request, 503, "it is not certain who leads");
         }
