--- a/crates/core/src/done.rs
+++ b/crates/core/src/done.rs
@@ -13,6 +13,8 @@
 struct DonePage {
     spans: BTreeSet<(JobIx, u64)>,
     bytes: usize,
+    /// Its write may wait for that of another: it takes nothing new.
+    barred: bool,
 }
 
 /// All pages.
@@ -54,7 +56,7 @@
         let at = self
             .pages
             .iter()
-            .position(|p| p.bytes + need <= self.page_bytes)
+            .position(|p| !p.barred && p.bytes + need <= self.page_bytes)
             .unwrap_or(self.pages.len()) as u64;
         self.adopt(at, ix, n, job);
         at
@@ -70,10 +72,41 @@
         job.done_pages.insert(n, page);
     }
 
+    /// Moves spans off pages that are larger than a value may be, as an earlier leader with larger
+    /// limits wrote them. The result says from which page to which.
+    pub fn split(&mut self, page_bytes: usize, jobs: &mut Jobs) -> Vec<(u64, u64)> {
+        self.page_bytes = page_bytes;
+        let mut moves = Vec::new();
+        for page in &mut self.pages {
+            page.barred |= page.bytes > page_bytes;
+        }
+        for from in 0..self.pages.len() {
+            // One that is set aside has no spans.
+            while self.pages[from].bytes > page_bytes && self.pages[from].spans.len() > 1 {
+                let Some((ix, n)) = self.pages[from].spans.pop_last() else {
+                    break;
+                };
+                let Some(job) = jobs.get_mut(ix) else {
+                    continue;
+                };
+                let p = &mut self.pages[from];
+                p.bytes = p.bytes.saturating_sub(size(job, n));
+                job.done_pages.remove(&n);
+                let to = self.page_of(ix, n, job);
+                moves.push((from as u64, to));
+            }
+        }
+        moves
+    }
+
+    /// The page's write waits for that of another.
+    pub fn bar(&mut self, page: u64) {
+        self.page_mut(page).barred = true;
+    }
+
     /// The page cannot be read: nothing is written to it.
     pub fn set_aside(&mut self, page: u64) {
-        let full = self.page_bytes;
-        self.page_mut(page).bytes = full;
+        self.page_mut(page).barred = true;
     }
 
     /// Forgets a job that is over. Its entries vanish when their pages are next written.
--- a/crates/core/src/fleet/decider.rs
+++ b/crates/core/src/fleet/decider.rs
@@ -115,6 +115,21 @@
             .unwrap_or(30 * SECOND)
     }
 
+    /// Replicas, by job, on machines that are about to go: they need a slot elsewhere now.
+    fn leaving_replicas(&self) -> BTreeMap<JobIx, u64> {
+        let mut leaving = BTreeMap::new();
+        let going = |m: &&Machine| m.closing || m.recall_at.is_some();
+        for m in self.machines.values().filter(going) {
+            for a in &m.assignments {
+                let serves = self.jobs.get(a.job).is_some_and(|j| j.is_daemon());
+                if serves && a.stop.is_none() {
+                    *leaving.entry(a.job).or_insert(0) += 1;
+                }
+            }
+        }
+        leaving
+    }
+
     /// The work that waits, job by job; with `haste` as it is planned for cheap machines.
     fn waiting_work<'a>(&'a self, cx: &Ctx, haste: bool) -> Vec<Work<'a>> {
         let now = cx.now.steady;
@@ -128,10 +143,12 @@
         let boot = self.least_boot(cx);
         let mut planned: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
         let mut work = Vec::new();
-        for (_, j) in self.jobs.iter() {
+        let leaving = self.leaving_replicas();
+        for (ix, j) in self.jobs.iter() {
             // One that keeps failing needs a machine for its next try: left out, it once had none for
             // good after its last was returned.
-            if j.placeable() == 0 {
+            let placeable = j.placeable(now) + leaving.get(&ix).copied().unwrap_or(0);
+            if placeable == 0 {
                 continue;
             }
             let Some(team) = cx.settings.teams.get(&j.spec.owner) else {
@@ -155,8 +172,8 @@
             let d = left.max(t * cx.tuning.least_rounds);
             let d_booting = d.max(boot as f64 / 1e6 + t);
             // Waiting tasks of other shapes need a slot each, now.
-            let t = match Shape::of(&j.spec) {
-                Some(Shape::Batch) => t,
+            let t = match j.shape {
+                Shape::Batch => t,
                 _ => d,
             };
             // The team's limit bounds what can run within `d`, whatever is rented.
@@ -170,7 +187,7 @@
                     ((max * rounds - used - planned) / need).max(0.0)
                 }
             };
-            let n = (j.placeable() as f64)
+            let n = (placeable as f64)
                 .min(room(team.cpus_max, used.0, plan.0, j.spec.vcpus))
                 .min(room(team.gpus_max, used.1, plan.1, j.spec.accelerators));
             if n < 0.5 {
@@ -391,6 +408,7 @@
         // Seconds that all waiting work would take one machine.
         let backlog: f64 = work
             .iter()
+            .filter(|w| w.is_batch())
             .map(|w| {
                 let slots = catalogue
                     .iter()
@@ -534,7 +552,7 @@
         let waits = self
             .jobs
             .iter()
-            .any(|(ix, j)| j.waiting() > 0 && self.has_quota(cx, ix));
+            .any(|(ix, j)| j.placeable(now) > 0 && self.has_quota(cx, ix));
         if waits || now.saturating_sub(self.loaded_at) < cx.tuning.idle_hold_us {
             return;
         }
@@ -573,6 +591,10 @@
                 let Some(job) = self.jobs.get(a.job) else {
                     return true;
                 };
+                // A move is a gap in what it serves.
+                if job.is_daemon() {
+                    return false;
+                }
                 let spec = &job.spec;
                 let place = rooms.iter_mut().find(|(o, r)| {
                     (o.spot || !m.spot)
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -2,7 +2,8 @@
 
 use crate::node::Ctx;
 use crate::{micros, Micros, Settings, SECOND};
-use grebewood_wire::http::{MachineType, Precedence, Submission};
+use grebewood_wire::http::{to_value, MachineType, Precedence, Submission};
+use grebewood_wire::json_size;
 use grebewood_wire::records::{JobRecord, DONE_SPAN};
 use std::collections::BTreeMap;
 
@@ -108,13 +109,15 @@
     Ok(())
 }
 
-/// Checks that the job's record fits a value of the state service. Only `builds` can be long: one
-/// beyond the limit was once answered 503 again and again, since state refused the record.
+/// Checks that the job's record fits a value of the state service: one beyond the limit was once
+/// answered 503 again and again, since state refused the record.
 pub fn check_size(s: &Submission, value_bytes: usize) -> Result<(), Refused> {
-    let names = s.builds.iter().flatten();
-    let builds: usize = names.map(|name| format!("{name:?},").len()).sum();
-    match builds > value_bytes / 2 {
-        true => Err(Refused::Invalid("builds: too long to be kept".into())),
+    let record = JobRecord {
+        spec: s.clone(),
+        accepted_us: u64::MAX,
+    };
+    match json_size(&to_value(&record)) > value_bytes {
+        true => Err(Refused::Invalid("the job is too long to be kept".into())),
         false => Ok(()),
     }
 }
@@ -230,8 +233,19 @@
     pub run_mean: (Micros, u32),
     /// Since when tasks have been waiting without a place.
     pub waiting_since: Option<Micros>,
+    pub shape: Shape,
+    /// Replicas of a daemon that ended by themselves: how often in a row, and when they are started
+    /// again.
+    pauses: BTreeMap<u64, (u32, Micros)>,
+    /// Machines on which a replica ended by itself, until when others come first.
+    shunned: BTreeMap<String, Micros>,
 }
 
+/// A replica that ran for as long as this begins a new row of ends.
+const STEADY_RUN: Micros = 30 * SECOND;
+/// Longest pause before a replica that keeps ending is started again.
+const LONGEST_PAUSE: Micros = 30 * SECOND;
+
 impl Job {
     pub fn new(record: JobRecord, now: Micros, wall: Micros) -> Self {
         let n = record.spec.shards.min(MAX_TASKS);
@@ -255,6 +269,9 @@
             done_pages: BTreeMap::new(),
             run_mean: (0, 0),
             waiting_since: Some(now),
+            shape: Shape::of(&record.spec).unwrap_or(Shape::Batch),
+            pauses: BTreeMap::new(),
+            shunned: BTreeMap::new(),
             age_base: now as i64 - age,
             spec: record.spec,
         }
@@ -278,13 +295,44 @@
     }
 
     pub fn all_done(&self) -> bool {
-        self.done_count >= self.tasks()
+        !self.is_daemon() && self.done_count >= self.tasks()
+    }
+
+    /// Whether its tasks run until it is cancelled: none of them is ever done.
+    pub fn is_daemon(&self) -> bool {
+        self.shape == Shape::Daemon
+    }
+
+    /// A replica of a daemon ended by itself on `machine` after it had run for `ran`. It is started
+    /// again at once, elsewhere if there is room; one that ends again and again after a growing pause.
+    pub fn replica_ended(&mut self, task: u64, machine: &str, ran: Micros, now: Micros) {
+        let (row, until) = self.pauses.entry(task).or_insert((0, 0));
+        *row = if ran >= STEADY_RUN { 1 } else { *row + 1 };
+        let pause = match *row {
+            1 => 0,
+            n => (SECOND << (n - 2).min(6)).min(LONGEST_PAUSE),
+        };
+        *until = now + pause;
+        self.shunned.retain(|_, until| *until > now);
+        let shunned = now + 2 * LONGEST_PAUSE;
+        self.shunned.insert(machine.to_string(), shunned);
+    }
+
+    /// Whether other machines come first for this job.
+    pub fn shuns(&self, machine: &str, now: Micros) -> bool {
+        self.shunned.get(machine).is_some_and(|until| *until > now)
+    }
+
+    fn pauses(&self, task: u64, now: Micros) -> bool {
+        self.pauses
+            .get(&task)
+            .is_some_and(|(_, until)| *until > now)
     }
 
     /// Marks a task done. A done task does not count as taken, though it may still be on a
     /// machine. Returns false if it was done already or does not exist.
     pub fn complete(&mut self, task: u64) -> bool {
-        if task >= self.tasks() || self.done.get(task) {
+        if self.is_daemon() || task >= self.tasks() || self.done.get(task) {
             return false;
         }
         self.done.set(task, true);
@@ -336,24 +384,22 @@
 
     /// How many tasks a job begins with ahead of its turn; all of those that need to run together.
     pub fn beginning(&self) -> u64 {
-        match Shape::of(&self.spec) {
-            Some(Shape::Batch) => self.tasks().div_ceil(20),
+        match self.shape {
+            Shape::Batch => self.tasks().div_ceil(20),
             _ => self.tasks(),
         }
     }
 
-    /// The next waiting task.
-    pub fn next_waiting(&mut self) -> Option<u64> {
+    /// The next waiting task that may be placed now.
+    pub fn next_waiting(&mut self, now: Micros) -> Option<u64> {
         if self.waiting() == 0 {
             return None;
         }
-        while self.cursor < self.tasks() {
-            if !self.done.get(self.cursor) && !self.taken.get(self.cursor) {
-                return Some(self.cursor);
-            }
+        let waits = |job: &Job, task: u64| !job.done.get(task) && !job.taken.get(task);
+        while self.cursor < self.tasks() && !waits(self, self.cursor) {
             self.cursor += 1;
         }
-        None
+        (self.cursor..self.tasks()).find(|task| waits(self, *task) && !self.pauses(*task, now))
     }
 
     /// The completed tasks, as hexadecimal digits of four tasks each, from `n * DONE_SPAN` on.
@@ -396,12 +442,15 @@
     }
 
     /// Tasks that may be placed now, as far as the job itself is concerned.
-    pub fn placeable(&self) -> u64 {
+    pub fn placeable(&self, now: Micros) -> u64 {
+        let pausing = |task: &&u64| self.pauses(**task, now) && !self.taken.get(**task);
+        let paused = self.pauses.keys().filter(pausing).count() as u64;
+        let waiting = self.waiting().saturating_sub(paused);
         if !self.keeps_failing() {
-            return self.waiting();
+            return waiting;
         }
         let live: u32 = self.zones.values().sum();
-        self.waiting().min(1u64.saturating_sub(live as u64))
+        waiting.min(1u64.saturating_sub(live as u64))
     }
 
     /// Time since acceptance.
@@ -521,15 +570,14 @@
 mod tests {
     use super::*;
 
-    #[test]
-    fn a_record_that_state_could_not_hold_is_refused_for_good() {
-        let mut s = Submission {
+    fn submission(shape: &str, shards: u64) -> Submission {
+        Submission {
             uid: "req-1".into(),
             workclass: "work".into(),
             owner: "t".into(),
-            shape: "batch".into(),
+            shape: shape.into(),
             precedence: Precedence::Normal,
-            shards: 1,
+            shards,
             vcpus: 1.0,
             accelerators: 0.0,
             memory_gb: 1.0,
@@ -544,8 +592,40 @@
             savepoint_s: 0.0,
             flush_s: 0.0,
             due_s: None,
+        }
+    }
+
+    /// No exit of a replica ends it for good: at first it is started again at once, then after
+    /// growing pauses, and a long run begins a new row. Others of its job do not wait for it.
+    #[test]
+    fn a_replica_that_keeps_ending_is_started_with_growing_pauses() {
+        let record = JobRecord {
+            spec: submission("daemon", 2),
+            accepted_us: 0,
         };
+        let mut job = Job::new(record, 0, 0);
+        assert!(!job.complete(0) && !job.all_done());
+        let mut now = 100 * SECOND;
+        let mut pauses = Vec::new();
+        for ran in [SECOND, SECOND, SECOND, 90 * SECOND, 0, 0, 0, 0, 0, 0, 0, 0] {
+            job.replica_ended(0, "n-000001", ran, now);
+            let from = now;
+            while job.next_waiting(now) != Some(0) {
+                assert_eq!((job.next_waiting(now), job.placeable(now)), (Some(1), 1));
+                now += SECOND;
+            }
+            assert_eq!(job.placeable(now), 2);
+            pauses.push((now - from) / SECOND);
+        }
+        assert_eq!(pauses, [0, 1, 2, 0, 1, 2, 4, 8, 16, 30, 30, 30]);
+        assert!(job.shuns("n-000001", now) && !job.shuns("n-000002", now));
+    }
+
+    #[test]
+    fn a_record_that_state_could_not_hold_is_refused_for_good() {
+        let mut s = submission("batch", 1);
         assert_eq!(check_fields(&s), Ok(()));
+        assert_eq!(check_size(&s, 2048), Ok(()));
         assert_eq!(check_size(&s, 4096), Ok(()));
         s.builds = Some(vec!["g".repeat(100); 40]);
         assert_eq!(check_fields(&s), Ok(()));
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -16,8 +16,8 @@
 use crate::{Micros, Outcome, Stopwatch, Target, MILLI, SECOND};
 use grebewood_wire as wire;
 use grebewood_wire::http::{
-    from_value, Change, Changes, Entry, EntryList, Epoch, Event, Lease, LeaseRequest, Txn,
-    TxnFailed, When,
+    from_value, to_value, Change, Changes, Entry, EntryList, Epoch, Event, Lease, LeaseRequest,
+    Txn, TxnFailed, When,
 };
 use grebewood_wire::peer::{PeerAnswer, PeerRequest};
 use grebewood_wire::records::{
@@ -150,8 +150,10 @@
     ended: VecDeque<String>,
     pub machines: BTreeMap<String, Machine>,
     pub pages: Vec<crate::placement::Page>,
-    /// Most bytes of a page.
-    pub page_bytes: usize,
+    /// Most bytes of a value, and most changes of a transaction. They are those of the settings
+    /// until the state service refuses what fits them.
+    value_bytes: usize,
+    txn_ops: usize,
     pub ledger: Ledger,
     pub fleet: Fleet,
     pub stats: Stats,
@@ -475,6 +477,11 @@
     }
 }
 
+/// Most bytes of a page in a value of this size.
+fn page_bytes(value_bytes: usize) -> usize {
+    value_bytes * 9 / 10
+}
+
 impl Lead {
     fn new(cx: &Ctx, token: u64, lease: u64) -> Self {
         let now = cx.now.steady;
@@ -489,7 +496,8 @@
             ended: VecDeque::new(),
             machines: BTreeMap::new(),
             pages: Vec::new(),
-            page_bytes: cx.settings.value_bytes * 9 / 10,
+            value_bytes: cx.settings.state.value_bytes,
+            txn_ops: cx.settings.state.txn_ops,
             ledger: Ledger::default(),
             fleet: Fleet::new(now),
             stats: Stats::default(),
@@ -498,7 +506,7 @@
             parked: Parked::default(),
             held_until: 0,
             held_stir: false,
-            done_pages: DonePages::new(cx.settings.value_bytes * 9 / 10),
+            done_pages: DonePages::new(page_bytes(cx.settings.state.value_bytes)),
             usage: Usage::new(),
             progress_dirty: BTreeSet::new(),
             watches: BTreeMap::new(),
@@ -514,6 +522,11 @@
         }
     }
 
+    /// Most bytes of a page: sizes are upper bounds, but for the frame of the record.
+    pub(crate) fn page_bytes(&self) -> usize {
+        page_bytes(self.value_bytes)
+    }
+
     /// Whether state has been read, so that the leader can act.
     pub fn loaded(&self) -> bool {
         self.loading.is_none()
--- a/crates/core/src/leadership/flush.rs
+++ b/crates/core/src/leadership/flush.rs
@@ -2,6 +2,14 @@
 
 use super::*;
 
+/// The fewest changes and the smallest value that the leader works with.
+const LEAST_TXN_OPS: usize = 3;
+const LEAST_VALUE: usize = 700;
+/// How long a record waits that the state service refused alone.
+const REFUSED_PAUSE: Micros = 5 * SECOND;
+/// How long the parts of a page that is too large may wait: what is new goes first.
+const SPLIT_DELAY: Micros = 500 * MILLI;
+
 impl Lead {
     /// Renders a record's current content.
     pub(super) fn render(&self, cx: &Ctx, rec: &Rec) -> Option<Rendered> {
@@ -29,13 +37,19 @@
                     None => None,
                 }
             }
-            Rec::Stats => Some(single(
-                STATS.into(),
-                put(STATS.into(), &self.stats.record()),
-            )),
+            Rec::Stats => {
+                let record = self.stats.record_within(self.value_bytes);
+                Some(single(STATS.into(), put(STATS.into(), &record)))
+            }
             Rec::Catalogue => {
                 let builds = cx.catalogue.clone()?;
                 let record = wire::http::Catalogue { builds };
+                if wire::json_size(&to_value(&record)) > self.value_bytes {
+                    // A part of it would have jobs refused that can run. Every node asks the cloud
+                    // for what is not here.
+                    warn!("record {CATALOGUE}: too large for the state service, not written");
+                    return None;
+                }
                 Some(single(CATALOGUE.into(), put(CATALOGUE.into(), &record)))
             }
             Rec::Over(ix) => {
@@ -71,7 +85,7 @@
                 // A record of an earlier version; if there are more, those are left behind,
                 // which costs room but is harmless.
                 let first = format!("{DONE}{}/0", job.id);
-                if self.ledger.stamps.contains_key(&first) {
+                if self.ledger.stamps.contains_key(&first) && r.apply.len() < self.txn_ops {
                     r.when.push(self.ledger.unchanged(&first));
                     r.apply.push(Change::Delete { delete: first });
                 }
@@ -95,7 +109,7 @@
             cx.read_key(&key, pending);
             return;
         }
-        let ops_left = cx.settings.txn_ops.min(cx.lead_writes.available(now));
+        let ops_left = self.txn_ops.min(cx.lead_writes.available(now));
         let mut txn = Txn {
             when: vec![When {
                 k: LEADER.into(),
@@ -107,6 +121,13 @@
         let mut bytes = 0;
         let mut short = false;
         for rec in self.ledger.due(now) {
+            // A record that may be what made a transaction invalid goes alone.
+            if !recs.is_empty() && self.ledger.is_suspect(&rec) {
+                continue;
+            }
+            if self.ledger.must_wait(&rec, &recs) {
+                continue;
+            }
             let Some(r) = self.render(cx, &rec) else {
                 self.ledger.forget(&rec);
                 continue;
@@ -115,6 +136,9 @@
             if txn.apply.len() + r.apply.len() > ops_left || bytes + size > 40 * 1024 {
                 short = true;
                 if recs.is_empty() && ops_left >= Ctx::cost(&rec) {
+                    // Larger than a transaction may be: nothing else waits behind it.
+                    warn!("{rec:?}: does not fit a transaction");
+                    self.ledger.postpone(&rec, now + REFUSED_PAUSE);
                     continue;
                 }
                 break;
@@ -123,10 +147,16 @@
             txn.when.extend(r.when);
             txn.apply.extend(r.apply);
             recs.push((rec.clone(), self.ledger.version(&rec)));
+            if self.ledger.is_suspect(&rec) {
+                break;
+            }
         }
         if recs.is_empty() {
             if short {
                 self.ledger.not_before = cx.lead_writes.ready_at(now, 4.0).max(now + 5 * MILLI);
+            } else {
+                // All that is due waits for something else.
+                self.ledger.not_before = now + 20 * MILLI;
             }
             return;
         }
@@ -166,6 +196,10 @@
                 self.ledger.back_off(now, MILLI);
             }
             Outcome::Unknown => self.read_back(cx, batch),
+            Outcome::Answer { status: 400, body } => {
+                let text = String::from_utf8_lossy(&body[..body.len().min(200)]).to_string();
+                self.flush_invalid(cx, &batch, &text);
+            }
             Outcome::Answer { status, body } => {
                 if status != 429 && status != 503 {
                     let text = String::from_utf8_lossy(&body[..body.len().min(200)]).to_string();
@@ -181,6 +215,65 @@
         Ok(())
     }
 
+    /// The state service called a flush invalid: a value or the transaction is larger than it takes
+    /// now. The same transaction would be refused for good, so each of its records goes alone; and
+    /// one that is refused alone becomes smaller.
+    fn flush_invalid(&mut self, cx: &mut Ctx, batch: &Batch, why: &str) {
+        let now = cx.now.steady;
+        self.ledger.back_off(now, cx.tuning.flush_interval_us);
+        let [(rec, _)] = &batch.recs[..] else {
+            warn!(
+                "state service: {} records refused, to be written one by one: {why}",
+                batch.recs.len()
+            );
+            self.ledger.suspect(&batch.recs);
+            self.txn_ops = (batch.txn.apply.len() / 2).max(LEAST_TXN_OPS);
+            return;
+        };
+        let keys: Vec<&str> = batch.puts().chain(batch.deletes()).collect();
+        error!("state service: {} refused: {why}", keys.join(", "));
+        // It was not the number of changes, then.
+        self.txn_ops = match batch.txn.apply.len() > LEAST_TXN_OPS {
+            true => LEAST_TXN_OPS,
+            false => cx.settings.state.txn_ops,
+        };
+        let large = batch.txn.apply.iter().any(|c| match c {
+            Change::Put { value, .. } => wire::json_size(value) > LEAST_VALUE,
+            Change::Delete { .. } => false,
+        });
+        match rec {
+            Rec::Page(_) | Rec::Done(_) | Rec::Stats if large => {
+                self.value_bytes = (self.value_bytes / 2).max(LEAST_VALUE);
+                self.split_pages(cx);
+                self.ledger.postpone(rec, now + SECOND);
+            }
+            _ => self.ledger.postpone(rec, now + REFUSED_PAUSE),
+        }
+    }
+
+    /// Moves what is on pages that are larger than a value may be to others: these are written
+    /// first, then the old ones. Until then what an earlier leader wrote stays as it is, and lists
+    /// all of it.
+    pub(super) fn split_pages(&mut self, cx: &Ctx) {
+        let due = cx.now.steady + SPLIT_DELAY;
+        let pages = self.split_placements(due);
+        let done = self
+            .done_pages
+            .split(page_bytes(self.value_bytes), &mut self.jobs)
+            .into_iter()
+            .map(|(from, to)| (Rec::Done(from), Rec::Done(to)));
+        let mut last = None;
+        for (from, to) in pages.into_iter().chain(done) {
+            if last.as_ref() == Some(&(from.clone(), to.clone())) {
+                continue;
+            }
+            let version = self.ledger.touch_lazily(to.clone(), due);
+            self.ledger.wait_for(from.clone(), to.clone(), version);
+            self.ledger.touch_lazily(from.clone(), due + SECOND);
+            last = Some((from, to));
+        }
+    }
+
     pub(super) fn flush_failed(&mut self, cx: &mut Ctx) {
         self.flush_failures = (self.flush_failures + 1).min(4);
         let pause = (100 * MILLI) << self.flush_failures;
--- a/crates/core/src/leadership/loading.rs
+++ b/crates/core/src/leadership/loading.rs
@@ -135,7 +135,7 @@
         }
         for e in dones {
             self.ledger.stamps.insert(e.k.clone(), e.stamp);
-            self.load_done(&e.k, &e.value);
+            self.load_done(cx, &e.k, &e.value);
         }
         for e in pages {
             self.ledger.stamps.insert(e.k.clone(), e.stamp);
@@ -185,6 +185,8 @@
                 self.on_cancelled(cx, id, record.ok().as_ref());
             }
         }
+        // Pages that an earlier leader wrote under larger limits.
+        self.split_pages(cx);
         let complete: Vec<JobIx> = self
             .jobs
             .iter()
@@ -232,7 +234,8 @@
     }
 
     /// Reads completed tasks back, in the present form or in that of an earlier version.
-    pub(super) fn load_done(&mut self, key: &str, value: &Value) {
+    pub(super) fn load_done(&mut self, cx: &Ctx, key: &str, value: &Value) {
+        let now = cx.now.steady;
         let rest = key.strip_prefix(DONE).unwrap_or_default();
         if let Some((id, n)) = rest.rsplit_once('/') {
             let job = self.jobs.find(id).and_then(|ix| self.jobs.get_mut(ix));
@@ -251,7 +254,19 @@
                     };
                     if let Some(job) = self.jobs.get_mut(ix) {
                         job.load_done(n, &bits);
-                        self.done_pages.adopt(page, ix, n, job);
+                        match job.done_pages.get(&n) {
+                            None => self.done_pages.adopt(page, ix, n, job),
+                            // On two pages, after a move that was half written: this one drops it
+                            // once the other has the bits of both.
+                            Some(other) => {
+                                let other = Rec::Done(*other);
+                                self.done_pages.bar(page);
+                                let due = now + SECOND;
+                                let version = self.ledger.touch_lazily(other.clone(), due);
+                                self.ledger.wait_for(Rec::Done(page), other, version);
+                                self.ledger.touch_lazily(Rec::Done(page), due);
+                            }
+                        }
                     }
                 }
             }
@@ -287,6 +302,17 @@
                     // Its job is over; whatever still runs is stopped when the worker reports it.
                     continue;
                 };
+                // On two pages, after a move that was half written: this one drops it.
+                let known = self.machines.get(&m.m).is_some_and(|m| {
+                    m.assignments
+                        .iter()
+                        .any(|a| a.attempt == attempt && a.task == task && a.job == ix)
+                });
+                if known {
+                    let due = cx.now.steady + SECOND;
+                    self.ledger.touch_lazily(Rec::Page(number), due);
+                    continue;
+                }
                 let Some(job) = self.jobs.get_mut(ix) else {
                     continue;
                 };
@@ -310,7 +336,7 @@
                     seen: Seen::Never,
                     decided: cx.now.steady,
                     started: None,
-                    expected: self.stats.expected_run(spec),
+                    expected: self.stats.expected_stay(spec),
                     stop: None,
                 };
                 self.page_mut(number).add(&m.m, &assignment);
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -5,6 +5,11 @@
 //! and that each key still has the stamp we know. The second condition guards against a
 //! transaction whose outcome was unknown and which is applied late: either it comes before the
 //! next write of the same key, which then fails and is repeated, or it fails itself.
+//!
+//! What moves from one record to another is first written to the new one: the old one waits until
+//! that is durable ([`Ledger::wait_for`]), so that at no moment it is on no record. Records whose
+//! transaction the state service called invalid go alone from then on ([`Ledger::suspect`]), so
+//! that a single one cannot keep others from being written.
 
 use crate::jobs::JobIx;
 use crate::{Micros, MILLI};
@@ -43,6 +48,8 @@
     durable: u64,
     /// When it is due, while it is dirty.
     due: Micros,
+    /// Its changes only tidy up: all others go first when the rate is short.
+    lazy: bool,
 }
 
 /// Records of one transaction.
@@ -87,6 +94,10 @@
     pub not_before: Micros,
     /// Keys whose stamps must be read again before the next flush.
     pub stale: Vec<String>,
+    /// What must be durable before a record may be written.
+    waits: BTreeMap<Rec, Vec<(Rec, u64)>>,
+    /// Records of a transaction that was called invalid: each goes alone.
+    suspects: BTreeSet<Rec>,
 }
 
 impl Ledger {
@@ -105,9 +116,20 @@
 
     /// Notes a change that may wait until `due`, for others to share its write.
     pub fn touch_by(&mut self, rec: Rec, due: Micros) -> u64 {
+        self.note(rec, due, false)
+    }
+
+    /// Notes a change that only tidies up: it may wait until `due`, and longer while the rate is
+    /// short.
+    pub fn touch_lazily(&mut self, rec: Rec, due: Micros) -> u64 {
+        self.note(rec, due, true)
+    }
+
+    fn note(&mut self, rec: Rec, due: Micros, lazy: bool) -> u64 {
         self.seq += 1;
         let slot = self.slots.entry(rec.clone()).or_default();
         let clean = slot.version == slot.durable;
+        slot.lazy = lazy && (clean || slot.lazy);
         if !clean && slot.due > due {
             self.queue.remove(&(slot.due, rec.clone()));
         }
@@ -129,20 +151,68 @@
         self.slots.get(rec).is_some_and(|s| s.version > s.durable)
     }
 
+    /// From now on `rec` is written only when the change of `first` with this number is durable,
+    /// or together with it.
+    pub fn wait_for(&mut self, rec: Rec, first: Rec, version: u64) {
+        self.waits.entry(rec).or_default().push((first, version));
+    }
+
+    /// Whether the record has to wait for another that is not among those `with` it.
+    pub fn must_wait(&mut self, rec: &Rec, with: &[(Rec, u64)]) -> bool {
+        let Some(mut firsts) = self.waits.remove(rec) else {
+            return false;
+        };
+        firsts.retain(|(first, version)| !self.is_durable(first, *version));
+        let waits = firsts.iter().any(|(first, version)| {
+            !with
+                .iter()
+                .any(|(rec, written)| rec == first && written >= version)
+        });
+        if !firsts.is_empty() {
+            self.waits.insert(rec.clone(), firsts);
+        }
+        waits
+    }
+
+    /// The records' transaction was called invalid: from now on each of them goes alone.
+    pub fn suspect(&mut self, recs: &[(Rec, u64)]) {
+        self.suspects
+            .extend(recs.iter().map(|(rec, _)| rec.clone()));
+    }
+
+    pub fn is_suspect(&self, rec: &Rec) -> bool {
+        self.suspects.contains(rec)
+    }
+
+    /// The record is dirty, but is not tried again before `until`.
+    pub fn postpone(&mut self, rec: &Rec, until: Micros) {
+        let Some(slot) = self.slots.get_mut(rec) else {
+            return;
+        };
+        if slot.version > slot.durable {
+            self.queue.remove(&(slot.due, rec.clone()));
+            slot.due = slot.due.max(until);
+            self.queue.insert((slot.due, rec.clone()));
+        }
+    }
+
     /// Forgets a record that needs no writing any more.
     pub fn forget(&mut self, rec: &Rec) {
+        self.suspects.remove(rec);
+        self.waits.remove(rec);
         if let Some(slot) = self.slots.remove(rec) {
             self.queue.remove(&(slot.due, rec.clone()));
         }
     }
 
-    /// Dirty records that are due, those of longest standing first.
+    /// Dirty records that are due, those of longest standing first; after them what only tidies up.
     pub fn due(&self, now: Micros) -> Vec<Rec> {
-        self.queue
-            .iter()
-            .take_while(|(due, _)| *due <= now)
-            .map(|(_, rec)| rec.clone())
-            .collect()
+        let due = self.queue.iter().take_while(|(due, _)| *due <= now);
+        let is_lazy = |rec: &Rec| self.slots.get(rec).is_some_and(|s| s.lazy);
+        let (lazy, mut recs): (Vec<Rec>, Vec<Rec>) =
+            due.map(|(_, rec)| rec.clone()).partition(is_lazy);
+        recs.extend(lazy);
+        recs
     }
 
     /// When the first dirty record is due.
@@ -171,6 +241,7 @@
             self.stamps.remove(key);
         }
         for (rec, version) in &batch.recs {
+            self.suspects.remove(rec);
             if let Some(slot) = self.slots.get_mut(rec) {
                 slot.durable = slot.durable.max(*version);
                 if slot.durable >= slot.version {
@@ -190,16 +261,61 @@
 mod tests {
     use super::*;
 
+    fn batch(recs: &[(Rec, u64)]) -> Batch {
+        Batch {
+            recs: recs.to_vec(),
+            txn: Txn::default(),
+            call: 1,
+        }
+    }
+
+    /// What moved to another page would be on no page, were the old one written first.
+    #[test]
+    fn the_old_record_waits_for_the_new_one() {
+        let mut l = Ledger::default();
+        let (old, new) = (Rec::Page(0), Rec::Page(1));
+        let v = l.touch(new.clone(), 5);
+        l.touch(old.clone(), 1);
+        l.wait_for(old.clone(), new.clone(), v);
+        assert!(l.must_wait(&old, &[]));
+        assert!(!l.must_wait(&old, &[(new.clone(), v)]));
+        assert!(l.must_wait(&old, &[]));
+        l.applied(&batch(&[(new, v)]), 9);
+        assert!(!l.must_wait(&old, &[]));
+    }
+
+    /// Under a short rate, tidying up must not keep new assignments from being written; a change
+    /// that matters makes its record matter.
+    #[test]
+    fn what_only_tidies_up_goes_last() {
+        let mut l = Ledger::default();
+        l.touch_lazily(Rec::Page(0), 1);
+        l.touch_lazily(Rec::Page(1), 2);
+        l.touch(Rec::Page(2), 3);
+        assert_eq!(l.due(3), vec![Rec::Page(2), Rec::Page(0), Rec::Page(1)]);
+        l.touch(Rec::Page(1), 3);
+        l.touch_lazily(Rec::Page(1), 3);
+        assert_eq!(l.due(3), vec![Rec::Page(1), Rec::Page(2), Rec::Page(0)]);
+    }
+
+    #[test]
+    fn a_record_that_is_refused_alone_is_postponed() {
+        let mut l = Ledger::default();
+        let v = l.touch(Rec::Stats, 1);
+        l.suspect(&[(Rec::Stats, v)]);
+        l.postpone(&Rec::Stats, 50);
+        assert!(l.is_suspect(&Rec::Stats) && l.due(49).is_empty());
+        assert_eq!(l.due(50), vec![Rec::Stats]);
+        l.applied(&batch(&[(Rec::Stats, v)]), 9);
+        assert!(!l.is_suspect(&Rec::Stats) && l.due(90).is_empty());
+    }
+
     #[test]
     fn a_change_during_a_flush_stays_dirty() {
         let mut l = Ledger::default();
         let rec = Rec::Page(0);
         let v1 = l.touch(rec.clone(), 5);
-        let batch = Batch {
-            recs: vec![(rec.clone(), v1)],
-            txn: Txn::default(),
-            call: 1,
-        };
+        let batch = batch(&[(rec.clone(), v1)]);
         let v2 = l.touch(rec.clone(), 6);
         l.applied(&batch, 9);
         assert!(l.is_durable(&rec, v1));
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -199,12 +199,14 @@
     /// A controller that has just started; `seed` must differ between processes.
     pub fn new(settings: Settings, tuning: Tuning, seed: u64) -> Self {
         let nodes = settings.siblings.len() as f64 + 1.0;
-        let user_writes = settings.state_write_rps * (1.0 - LEADER_WRITES);
+        let (rps, write_rps) = (settings.state.rps, settings.state.write_rps);
+        let user_writes = write_rps * (1.0 - LEADER_WRITES);
         let cx = Ctx {
-            reads: Bucket::new(settings.state_rps * 0.7 / nodes),
+            reads: Bucket::new(rps * 0.7 / nodes),
             // A burst of submissions may use most of one second's worth at one node.
-            writes: Bucket::with_depth(user_writes / nodes, settings.state_write_rps * 0.4),
-            lead_writes: Bucket::new(settings.state_write_rps * LEADER_WRITES),
+            writes: Bucket::with_depth(user_writes / nodes, write_rps * 0.4),
+            // The end of a job takes several changes at once: under a small rate these must add up.
+            lead_writes: Bucket::with_depth(write_rps * LEADER_WRITES, write_rps.min(4.0)),
             cloud: Bucket::new(settings.cloud_rps * 0.8),
             settings,
             tuning,
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -22,6 +22,8 @@
     bytes: usize,
     /// Its record cannot be read; it is kept as it is.
     pub broken: bool,
+    /// Its write may wait for that of another: it takes nothing new.
+    barred: bool,
 }
 
 impl Page {
@@ -116,8 +118,8 @@
         // Assignments of one moment share a page; when it is full, the emptiest comes next, so
         // that few pages are written.
         let need = count * 160;
-        let most = self.page_bytes;
-        let fits = |p: &Page| !p.broken && p.bytes + need <= most;
+        let most = self.page_bytes();
+        let fits = |p: &Page| !p.broken && !p.barred && p.bytes + need <= most;
         let open = self.placement.open_page;
         if self.pages.get(open as usize).is_some_and(fits) {
             return open;
@@ -131,6 +133,51 @@
         n
     }
 
+    /// Moves assignments off pages that are larger than a value may be. The result says from which
+    /// page to which.
+    pub(crate) fn split_placements(&mut self, due: Micros) -> Vec<(Rec, Rec)> {
+        let most = self.page_bytes();
+        for page in &mut self.pages {
+            page.barred |= page.bytes > most;
+        }
+        let mut moves = Vec::new();
+        for from in 0..self.pages.len() as u64 {
+            if self.page_mut(from).bytes <= most || self.page_mut(from).broken {
+                continue;
+            }
+            let names: Vec<String> = self.page_mut(from).machines.keys().cloned().collect();
+            let here = names.iter().filter_map(|name| {
+                let assignments = &self.machines.get(name)?.assignments;
+                let at = assignments.iter().enumerate();
+                Some(
+                    at.filter(|(_, a)| a.page == from)
+                        .map(move |(at, _)| (name, at)),
+                )
+            });
+            let here: Vec<(&String, usize)> = here.flatten().collect();
+            for (name, at) in here.into_iter().rev() {
+                if self.page_mut(from).bytes <= most {
+                    break;
+                }
+                let to = self.page_with_room(1);
+                let Some(a) = self.machines.get_mut(name).map(|m| &mut m.assignments[at]) else {
+                    continue;
+                };
+                let old = a.clone();
+                a.page = to;
+                if !a.may_exist() {
+                    // Not launched yet: that waits for the new page.
+                    a.written = self.ledger.touch(Rec::Page(to), due);
+                }
+                let new = a.clone();
+                self.page_mut(from).remove(name, &old);
+                self.page_mut(to).add(name, &new);
+                moves.push((Rec::Page(from), Rec::Page(to)));
+            }
+        }
+        moves
+    }
+
     /// The current content of a page.
     pub(crate) fn page_record(&self, n: u64) -> PageRecord {
         let mut record = PageRecord::default();
@@ -221,8 +268,8 @@
                 let left = j.tasks().saturating_sub(j.done_count) as f64;
                 let run = self.stats.expected_run(&j.spec) as f64;
                 // What needs its slots at once comes before what fills them one by one.
-                let work = match Shape::of(&j.spec) {
-                    Some(Shape::Batch) => (left * j.spec.vcpus * run) as i64,
+                let work = match j.shape {
+                    Shape::Batch => (left * j.spec.vcpus * run) as i64,
                     _ => 0,
                 };
                 let level = match j.spec.precedence {
@@ -356,7 +403,8 @@
                 && used.1 + job.spec.accelerators * n <= team.gpus_max + EPS
         };
         // A job whose tasks keep failing is tried with one task at a time.
-        let mut left = job.placeable();
+        let now = cx.now.steady;
+        let mut left = job.placeable(now);
         if !in_quota(used, 1.0) || left == 0 {
             return;
         }
@@ -369,9 +417,10 @@
             used.0 + spec.vcpus * n <= team.cpus_max + EPS
                 && used.1 + spec.accelerators * n <= team.gpus_max + EPS
         };
-        let expected = self.stats.expected_run(&spec);
-        // Places in `open`, those with the image first, then those that wait for work at our door,
-        // then spot, then the fullest.
+        let shape = job.shape;
+        let expected = self.stats.expected_stay(&spec);
+        // Places in `open`: for a replica first those where none ended by itself lately; those with the
+        // image first, then those that wait for work at our door, then spot, then the fullest.
         let mut candidates: Vec<(Preference, usize)> = open
             .iter()
             .enumerate()
@@ -386,13 +435,15 @@
                     .get(&o.name)
                     .is_some_and(|m| m.has_image(&spec.bundle));
                 let away = !self.parked.contains(&o.name);
-                ((!image, away, !o.spot, (o.free.0 * 1e3) as i64), at)
+                let shunned = job.shuns(&o.name, now);
+                let room = (o.free.0 * 1e3) as i64;
+                ((shunned, !image, away, !o.spot, room), at)
             })
             .collect();
         candidates.sort();
         let fixed_zone = self.fixed_zone(ix, &spec, &candidates, open);
         let mut together = None;
-        if Shape::of(&spec) == Some(Shape::Gang) {
+        if shape == Shape::Gang {
             let room = self.gang_room(ix, &spec, &candidates, open, fixed_zone.as_deref());
             if room < left || !in_quota(used, left as f64) {
                 return;
@@ -417,7 +468,7 @@
                 if spec.spread && here >= spec.shards.div_ceil(2) {
                     break;
                 }
-                let Some(task) = job.next_waiting() else {
+                let Some(task) = job.next_waiting(now) else {
                     break 'machines;
                 };
                 job.take(task);
@@ -542,7 +593,7 @@
             let waited = j.waiting_since.map_or(0, |at| now.saturating_sub(at));
             j.spec.precedence > Precedence::Idle
                 && !j.keeps_failing()
-                && j.waiting() > 0
+                && j.placeable(now) > 0
                 && waited >= cx.tuning.preempt_after_us
                 && j.target(cx, self.need(cx, j)).is_some()
         };
@@ -576,7 +627,7 @@
             let Some(team) = cx.settings.teams.get(&spec.owner) else {
                 continue;
             };
-            let mut need = j.waiting();
+            let mut need = j.placeable(now);
             let mut quota = team.cpus_max - self.usage.get(&spec.owner).map_or(0.0, |u| u.0)
                 + stopping.get(&spec.owner).copied().unwrap_or(0.0);
             let task = (spec.vcpus, spec.accelerators, spec.memory_gb);
@@ -658,6 +709,7 @@
                 false => 5 * SECOND,
             };
             if a.stop.is_some()
+                || job.is_daemon()
                 || job.spec.savepoint_s <= 0.0
                 || a.seen != Seen::Running
                 || ran < least_run
@@ -693,7 +745,7 @@
 }
 
 /// What is sorted by to choose a machine, the best first.
-type Preference = (bool, bool, bool, i64);
+type Preference = (bool, bool, bool, bool, i64);
 
 /// CPUs, accelerators and memory.
 type Room = (f64, f64, f64);
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -26,6 +26,31 @@
     pub class: String,
     pub within: Option<Micros>,
     pub share: f64,
+    /// Of an `up` aim: the time from which on a service is to be served.
+    pub after: Option<Micros>,
+    /// Of an `up` aim: the span whose worst one counts; none: the whole day counts.
+    pub worst: Option<Micros>,
+}
+
+/// What the state service takes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_bytes: usize,
+    pub txn_ops: usize,
+}
+
+impl StateLimits {
+    /// What fits both: limits may be lowered at a moment that nobody announces.
+    pub fn smaller_of(self, next: StateLimits) -> StateLimits {
+        StateLimits {
+            rps: self.rps.min(next.rps),
+            write_rps: self.write_rps.min(next.write_rps),
+            value_bytes: self.value_bytes.min(next.value_bytes),
+            txn_ops: self.txn_ops.min(next.txn_ops),
+        }
+    }
 }
 
 /// The settings of one controller.
@@ -39,10 +64,8 @@
     pub report: Micros,
     pub lease: Micros,
     pub cancel: Micros,
-    pub state_rps: f64,
-    pub state_write_rps: f64,
-    pub value_bytes: usize,
-    pub txn_ops: usize,
+    /// What the state service takes now and after an announced change, whichever is less.
+    pub state: StateLimits,
     pub cloud_rps: f64,
     pub list_lag: Micros,
 }
@@ -63,6 +86,11 @@
             .max()
     }
 
+    /// Whether an aim counts that services of some class are served all the time.
+    pub fn services_count(&self) -> bool {
+        self.objectives.iter().any(|o| o.kind == "up")
+    }
+
     /// Whether an aim counts how soon tasks of the class start.
     pub fn starts_count(&self, class: &str) -> bool {
         self.objectives
--- a/crates/core/src/stats.rs
+++ b/crates/core/src/stats.rs
@@ -3,11 +3,16 @@
 //! A run time is kept as its ratio to the owner's estimate, by class, and each sample is bounded
 //! so that one slow machine or one wild estimate cannot poison the average.
 
+use crate::jobs::Shape;
 use crate::{micros, Micros, SECOND};
-use grebewood_wire::http::Submission;
+use grebewood_wire::http::{to_value, Submission};
+use grebewood_wire::json_size;
 use grebewood_wire::records::StatsRecord;
 use std::collections::BTreeMap;
 
+/// Longer than any machine is kept.
+const FOR_GOOD: Micros = 365 * 86_400 * SECOND;
+
 /// A weighted mean whose weight is bounded, so that it follows changes.
 #[derive(Clone, Copy, Debug, Default)]
 struct Mean {
@@ -73,6 +78,15 @@
         micros(spec.expected_s * ratio).max(SECOND / 10)
     }
 
+    /// How long a task of the job will stay on its machine, without the fetch. A replica of a daemon
+    /// stays until it is stopped.
+    pub fn expected_stay(&self, spec: &Submission) -> Micros {
+        match Shape::of(spec) {
+            Some(Shape::Daemon) => FOR_GOOD,
+            _ => self.expected_run(spec),
+        }
+    }
+
     /// Average boot time of the type: the published one counts as three samples.
     pub fn boot_time(&self, machine_type: &str, startup: Micros) -> Micros {
         match self.boots.get(machine_type) {
@@ -81,6 +95,31 @@
         }
     }
 
+    /// The record, without the averages of least weight as far as it would be larger than `bytes`.
+    pub fn record_within(&self, bytes: usize) -> StatsRecord {
+        let mut record = self.record();
+        while json_size(&to_value(&record)) > bytes {
+            let least = |weights: Vec<f64>| {
+                let all = weights.into_iter().enumerate();
+                all.min_by(|a, b| a.1.total_cmp(&b.1))
+            };
+            let run = least(record.runs.iter().map(|r| r.3).collect());
+            let ratio = least(record.ratios.iter().map(|r| r.2).collect());
+            // What is known by class and type is of less use than what is known by class.
+            match (run, ratio) {
+                (Some((at, _)), _) => {
+                    record.runs.remove(at);
+                }
+                (None, Some((at, _))) => {
+                    record.ratios.remove(at);
+                }
+                (None, None) if record.boots.pop().is_some() => {}
+                (None, None) => break,
+            }
+        }
+        record
+    }
+
     pub fn record(&self) -> StatsRecord {
         StatsRecord {
             runs: self
@@ -134,3 +173,33 @@
         stats
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Classes are the users' words: their averages once could have grown beyond any value.
+    #[test]
+    fn the_record_keeps_what_weighs_most_within_a_limit() {
+        let mut stats = Stats::default();
+        for k in 0..100 {
+            let (class, weight) = (format!("class-{k:03}"), f64::from(k));
+            let mean = Mean { value: 1.5, weight };
+            stats.ratios.insert(class.clone(), mean);
+            stats.runs.insert((class, "std".into()), mean);
+        }
+        let boot = Mean {
+            value: 9e6,
+            weight: 1.0,
+        };
+        stats.boots.insert("std".into(), boot);
+        let record = stats.record_within(2048);
+        assert!(json_size(&to_value(&record)) <= 2048);
+        assert_eq!((record.runs.len(), record.boots.len()), (0, 1));
+        assert!(record.ratios.len() > 20);
+        assert!(record.ratios.iter().any(|r| r.0 == "class-099"));
+        assert!(record.ratios.iter().all(|r| r.0 != "class-000"));
+        let all = stats.record_within(1_000_000);
+        assert_eq!((all.runs.len(), all.ratios.len()), (100, 100));
+    }
+}
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -8,9 +8,11 @@
 use crate::jobs::{check_fields, check_possible, check_size, valid_id, Refused};
 use crate::ledger::Rec;
 use crate::node::{Ctx, Node, Pending};
-use crate::{Micros, Outcome};
+use crate::{Micros, Outcome, Settings};
 use grebewood_wire as wire;
-use grebewood_wire::http::{Accepted, Change, Entry, JobStatus, Submission, Txn, When};
+use grebewood_wire::http::{
+    Accepted, Change, Entry, JobStatus, MachineType, Submission, Txn, When,
+};
 use grebewood_wire::records::{cancel_key, job_key, CancelRecord, JobRecord, PastRecord, PAST};
 use log::{debug, warn};
 use std::collections::{BTreeMap, VecDeque};
@@ -89,9 +91,7 @@
             Ok(s) => s,
             Err(e) => return self.cx.refuse(id, 400, &e.to_string()),
         };
-        let checked = check_fields(&submission)
-            .and_then(|()| check_size(&submission, self.cx.settings.value_bytes));
-        if let Err(Refused::Invalid(why)) = checked {
+        if let Err(Refused::Invalid(why)) = check_fields(&submission) {
             return self.cx.refuse(id, 400, &why);
         }
         let job = submission.uid.clone();
@@ -105,9 +105,9 @@
         let Some(catalogue) = &self.cx.catalogue else {
             return self.cx.refuse(id, 503, "machine types are not known yet");
         };
-        // A repeated submission of an accepted job must not get 422, so when this one could not
-        // run, it is looked up before it is refused.
-        let possible = check_possible(&submission, &self.cx.settings, catalogue).is_ok();
+        // A repeated submission of an accepted job must get neither 422 nor 400, though the limits
+        // may have been larger when it was accepted: it is looked up before it is refused.
+        let possible = acceptable(&submission, &self.cx.settings, catalogue).is_ok();
         if !self.cx.in_contact(crate::node::CONTACT_SPAN) {
             return self.cx.refuse(id, 503, "no contact with the state service");
         }
@@ -284,8 +284,11 @@
                     .cx
                     .catalogue
                     .as_ref()
-                    .map(|c| check_possible(spec, &self.cx.settings, c));
+                    .map(|c| acceptable(spec, &self.cx.settings, c));
                 match refused {
+                    Some(Err(Refused::Invalid(why))) => {
+                        self.cx.refuse(call.request, 400, &why);
+                    }
                     Some(Err(Refused::Impossible(why))) => {
                         self.cx.refuse(call.request, 422, &why);
                     }
@@ -367,6 +370,15 @@
     }
 }
 
+/// Whether a job that is not known yet can be accepted: its record can be kept, and it can run.
+fn acceptable(
+    s: &Submission,
+    settings: &Settings,
+    catalogue: &[MachineType],
+) -> Result<(), Refused> {
+    check_size(s, settings.state.value_bytes).and_then(|()| check_possible(s, settings, catalogue))
+}
+
 pub(crate) fn absent(key: &str) -> When {
     When {
         k: key.to_string(),
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -1,13 +1,14 @@
 //! Machines as their workers report them, and what is known to be on them.
 
-use crate::jobs::{error_backoff, parse_task, JobIx, EPS};
+use crate::jobs::{error_backoff, parse_task, Job, JobIx, EPS};
 use crate::leadership::Lead;
 use crate::ledger::Rec;
 use crate::node::{Ctx, LeadCall, Node};
+use crate::placement::{permits, slots};
 use crate::{micros, Micros, Outcome, Target, MILLI, SECOND};
 use grebewood_wire as wire;
 use grebewood_wire::http::{
-    CheckinAnswer, DirectOrders, MachineType, Order, Redirect, Report, ShardReport,
+    CheckinAnswer, DirectOrders, MachineType, Order, Redirect, Report, ShardReport, Submission,
 };
 use grebewood_wire::records::DONE_SPAN;
 use log::{error, info, warn};
@@ -26,11 +27,17 @@
 /// How long the removal of an assignment may wait to be written: until then its page lists a task
 /// that is gone, which the next leader finds out from the worker's first report.
 const FREE_DELAY: Micros = 8 * SECOND;
+/// The part of the write rate that such removals may take.
+const FREE_WRITES: f64 = 0.2;
+/// How long a replica of an earlier leader has run at least, as far as can be told.
+const LEAST_STAY: Micros = 30 * SECOND;
 /// A worker waits so long for an answer to its report before it goes to another node.
 const ANSWER_TIME: Micros = 4 * SECOND;
 /// A worker that has our answer tells so soon, because the token was news to it; one that does not
 /// is asked directly whether it hears us.
 const ASK_AFTER: Micros = SECOND;
+/// If more than this part of the machines is silent, they are cut off rather than gone.
+const MOST_SILENT_PART: usize = 20;
 /// Most machines that are asked so at once.
 const MOST_ASKED: usize = 100;
 /// Between two direct commands to one machine.
@@ -410,6 +417,25 @@
         let mut after = Vec::new();
         let job = self.jobs.get_mut(a.job);
         match (cause, job) {
+            ("no_room" | "busy", _) => {
+                warn!("{shard}: {name} refused it: {cause}");
+                m.shy_until = now + 3 * SECOND;
+            }
+            // A replica is to run again, however it ended; unless we stopped it, it ended by itself.
+            (_, Some(job)) if job.is_daemon() => {
+                let ran = match (a.recovered(), a.started) {
+                    // One of an earlier leader has run for a while.
+                    (true, _) => now.saturating_sub(self.loaded_at) + LEAST_STAY,
+                    (false, at) => at.map_or(0, |at| now.saturating_sub(at)),
+                };
+                if a.stop.is_none() {
+                    info!("{shard}: {cause} on {name} after {} s", ran / SECOND);
+                    job.replica_ended(a.task, name, ran, now);
+                    if cause == "error" {
+                        m.failed(job);
+                    }
+                }
+            }
             ("done", Some(job)) => {
                 m.errors.clear();
                 job.errors = 0;
@@ -425,27 +451,13 @@
             ("error", Some(job)) => {
                 job.errors += 1;
                 job.retry_at = now + error_backoff(job.errors);
-                m.errors.push(job.id.clone());
-                // Tasks of different jobs fail here, and none has succeeded in between; or those of
-                // one job do, which alone says little: it is blamed on two machines at the most.
-                let others = m.errors.iter().any(|id| *id != job.id);
-                let often = m.errors.len() >= 4 && job.blamed < 2;
-                if (others || often) && !m.closing {
-                    warn!("{name}: faulty, to be returned");
-                    m.closing = true;
-                    job.blamed += u32::from(!others);
-                }
-                m.errors.truncate(8);
+                m.failed(job);
                 info!("{shard}: error on {name}");
             }
             ("unknown", Some(job)) => {
                 job.errors += 1;
                 job.retry_at = now + error_backoff(job.errors.max(3));
             }
-            ("no_room" | "busy", _) => {
-                warn!("{shard}: {name} refused it: {cause}");
-                m.shy_until = now + 3 * SECOND;
-            }
             _ => {}
         }
         self.free(cx, name, at);
@@ -551,7 +563,10 @@
         }
         self.count_running(now, a.job, a.seen, Seen::Never);
         self.page_mut(a.page).remove(name, &a);
-        self.ledger.touch_by(Rec::Page(a.page), now + FREE_DELAY);
+        // Every page loses something all the time: with many pages the writes must be further apart.
+        let pages = self.pages.len() as f64 / (cx.settings.state.write_rps * FREE_WRITES);
+        let delay = FREE_DELAY.max((pages * 1e6) as Micros);
+        self.ledger.touch_lazily(Rec::Page(a.page), now + delay);
         if let Some(job) = self.jobs.get_mut(a.job) {
             job.give_back(a.task);
             if let Some(n) = job.zones.get_mut(&a.zone) {
@@ -704,7 +719,11 @@
                 continue;
             }
             let flush = micros(job.spec.flush_s);
-            if job.spec.savepoint_s > 0.0 {
+            if job.is_daemon() {
+                // It moves at once: each second here is one without a machine later.
+                let saves = job.spec.savepoint_s > 0.0 && left > flush + 2 * SECOND;
+                stops.push((a.attempt, if saves { leeway(flush) } else { 0 }));
+            } else if job.spec.savepoint_s > 0.0 {
                 if left < flush + 5 * SECOND {
                     stops.push((a.attempt, leeway(flush)));
                 }
@@ -821,6 +840,7 @@
         // A new leader waits for the machines' first reports, to stop what it can without a release.
         let new = now.saturating_sub(self.loaded_at) < report * 3 / 2 + SECOND;
         let names: Vec<String> = self.machines.keys().cloned().collect();
+        let mut silent_serving: Vec<(Micros, String)> = Vec::new();
         for name in names {
             let Some(m) = self.machines.get_mut(&name) else {
                 continue;
@@ -862,6 +882,14 @@
                 let ago = self.jobs.get(a.job).and_then(|j| j.cancelled_for(now));
                 ago.is_some_and(|ago| ago > cancel / 2 && (!new || ago > cancel * 3 / 4))
             });
+            // A release is proof, and sooner than the end of the lease: replicas need not wait for that.
+            let serves = m.knows_token
+                && m.assignments
+                    .iter()
+                    .any(|a| self.jobs.get(a.job).is_some_and(Job::is_daemon));
+            if serves && hearing && !new && silent > 2 * report + SECOND {
+                silent_serving.push((silent, name.clone()));
+            }
             if overdue_cancel || (hearing && silent > silent_release(lease)) {
                 if self.fleet.release(&name, now) {
                     info!("{name}: released, silent for {} s", silent / SECOND);
@@ -898,8 +926,67 @@
                 self.stop_on(cx, &name, 0, |a| useless.contains(&a.attempt));
             }
             self.drain_recalled(cx, &name);
+            self.move_replicas(cx, &name);
             self.send_direct(cx, &name);
         }
+        self.check_silent_serving(cx, &silent_serving);
+    }
+
+    /// Machines that hold replicas and are silent are asked directly, and released if that brings no
+    /// answer either. Many at once are more likely cut off than gone, and keep serving meanwhile.
+    fn check_silent_serving(&mut self, cx: &mut Ctx, silent: &[(Micros, String)]) {
+        let now = cx.now.steady;
+        let few = 1 + self.machines.len() / MOST_SILENT_PART;
+        for (silence, name) in silent {
+            if *silence < cx.settings.report * 3 + 2 * SECOND {
+                self.send_orders(cx, name, true);
+            } else if silent.len() <= few && self.fleet.release(name, now) {
+                info!(
+                    "{name}: released, silent for {} s with replicas on it",
+                    silence / SECOND
+                );
+                if let Some(m) = self.machines.get_mut(name) {
+                    m.closing = true;
+                }
+            }
+        }
+    }
+
+    /// Replicas on a machine that is to be returned never end by themselves: each is stopped once
+    /// there is room for it elsewhere.
+    fn move_replicas(&mut self, cx: &mut Ctx, name: &str) {
+        let Some(m) = self.machines.get(name).filter(|m| m.closing) else {
+            return;
+        };
+        let moves: Vec<(u64, Micros)> = m
+            .assignments
+            .iter()
+            .filter(|a| a.stop.is_none())
+            .filter_map(|a| {
+                let job = self.jobs.get(a.job).filter(|j| j.is_daemon())?;
+                let leeway = match job.spec.savepoint_s > 0.0 {
+                    true => leeway(micros(job.spec.flush_s)),
+                    false => 0,
+                };
+                self.room_elsewhere(cx, a, &job.spec)
+                    .then_some((a.attempt, leeway))
+            })
+            .collect();
+        // One at a time, since they may mean the same room.
+        if let Some((attempt, leeway)) = moves.first().copied() {
+            self.stop_on(cx, name, leeway, |a| a.attempt == attempt);
+        }
+    }
+
+    /// Whether a machine of the same zone has room for the task of the assignment.
+    fn room_elsewhere(&self, cx: &Ctx, a: &Assignment, spec: &Submission) -> bool {
+        let (now, silence) = (cx.now.steady, 3 * cx.settings.report);
+        self.machines.values().any(|m| {
+            m.zone == a.zone
+                && m.usable(now, silence)
+                && slots(m.free(), spec) > 0
+                && permits(cx, spec, &m.machine_type, &m.zone, m.spot)
+        })
     }
 }
 
--- a/crates/core/src/workers/machine.rs
+++ b/crates/core/src/workers/machine.rs
@@ -204,6 +204,20 @@
         }
     }
 
+    /// A task of the job failed here. Tasks of different jobs do, and none has succeeded in between; or
+    /// those of one job do, which alone says little: it is blamed on two machines at the most.
+    pub(super) fn failed(&mut self, job: &mut Job) {
+        self.errors.push(job.id.clone());
+        let others = self.errors.iter().any(|id| *id != job.id);
+        let often = self.errors.len() >= 4 && job.blamed < 2;
+        if (others || often) && !self.closing {
+            warn!("{}: faulty, to be returned", self.name);
+            self.closing = true;
+            job.blamed += u32::from(!others);
+        }
+        self.errors.truncate(8);
+    }
+
     /// Whether new tasks may be placed here.
     pub fn usable(&self, now: Micros, silence: Micros) -> bool {
         self.hears && self.counts(now, silence)
--- a/crates/grebewood/src/config.rs
+++ b/crates/grebewood/src/config.rs
@@ -1,5 +1,6 @@
 //! Reads and checks the settings file (TOML) and the operators' tuning file (INI).
 
+use grebewood_core::settings::StateLimits;
 use grebewood_core::{micros, Objective, Settings, Sibling, Team, Tuning};
 use grebewood_net::Endpoints;
 use serde::Deserialize;
@@ -63,6 +64,8 @@
     #[serde(default)]
     class: String,
     within_s: Option<f64>,
+    after_s: Option<f64>,
+    worst_s: Option<f64>,
     #[serde(default)]
     share: f64,
 }
@@ -80,6 +83,16 @@
     write_rps: f64,
     value_kb: f64,
     txn_ops: usize,
+    next: Option<FileNextState>,
+}
+
+/// The limits of the state service after an announced change; what is missing stays as it is.
+#[derive(Deserialize)]
+struct FileNextState {
+    rps: Option<f64>,
+    write_rps: Option<f64>,
+    value_kb: Option<f64>,
+    txn_ops: Option<usize>,
 }
 
 #[derive(Deserialize)]
@@ -126,6 +139,33 @@
     }
 }
 
+/// The least that the service can work with: a job's end takes three changes at once, and a job's
+/// record some hundred bytes.
+const LEAST_TXN_OPS: usize = 3;
+const LEAST_VALUE_KB: f64 = 1.0;
+
+/// Checks limits of the state service; `field` is where they stand.
+fn state_limits(
+    field: &str,
+    rps: f64,
+    write_rps: f64,
+    value_kb: f64,
+    txn_ops: usize,
+) -> Result<StateLimits, String> {
+    if txn_ops < LEAST_TXN_OPS {
+        return Err(format!("{field}.txn_ops: less than {LEAST_TXN_OPS}"));
+    }
+    if positive(&format!("{field}.value_kb"), value_kb)? < LEAST_VALUE_KB {
+        return Err(format!("{field}.value_kb: less than {LEAST_VALUE_KB}"));
+    }
+    Ok(StateLimits {
+        rps: positive(&format!("{field}.rps"), rps)?,
+        write_rps: positive(&format!("{field}.write_rps"), write_rps)?,
+        value_bytes: (value_kb * 1024.0) as usize,
+        txn_ops,
+    })
+}
+
 fn parse(text: &str) -> Result<(Settings, Endpoints), String> {
     let file: File = toml::from_str(text).map_err(|e| {
         let line = e.span().map_or(0, |s| {
@@ -164,19 +204,37 @@
     }
     let mut objectives = Vec::new();
     for o in c.objectives {
-        let within = match o.within_s {
-            Some(s) => Some(micros(positive("cluster.objectives.within_s", s)?)),
-            None => None,
+        let time = |field: &str, s: Option<f64>| {
+            let field = format!("cluster.objectives.{field}");
+            s.map(|s| positive(&field, s).map(micros)).transpose()
+        };
+        let within = time("within_s", o.within_s)?;
+        let (after, worst) = match o.kind.as_str() {
+            "up" => (
+                time("after_s", o.after_s.filter(|s| *s != 0.0))?,
+                time("worst_s", o.worst_s)?,
+            ),
+            _ => (None, None),
         };
         objectives.push(Objective {
             kind: o.kind,
             class: o.class,
             within,
             share: o.share,
+            after,
+            worst,
         });
     }
-    if c.state.txn_ops < 4 {
-        return Err("cluster.state.txn_ops: less than 4".into());
+    let s = c.state;
+    let mut state = state_limits("cluster.state", s.rps, s.write_rps, s.value_kb, s.txn_ops)?;
+    if let Some(next) = s.next {
+        state = state.smaller_of(state_limits(
+            "cluster.state.next",
+            next.rps.unwrap_or(s.rps),
+            next.write_rps.unwrap_or(s.write_rps),
+            next.value_kb.unwrap_or(s.value_kb),
+            next.txn_ops.unwrap_or(s.txn_ops),
+        )?);
     }
     let mut siblings = Vec::new();
     let mut peers = Vec::new();
@@ -204,10 +262,7 @@
         report: micros(positive("cluster.workers.report_s", c.workers.report_s)?),
         lease: micros(positive("cluster.workers.lease_s", c.workers.lease_s)?),
         cancel: micros(positive("cluster.workers.cancel_s", c.workers.cancel_s)?),
-        state_rps: positive("cluster.state.rps", c.state.rps)?,
-        state_write_rps: positive("cluster.state.write_rps", c.state.write_rps)?,
-        value_bytes: (positive("cluster.state.value_kb", c.state.value_kb)? * 1024.0) as usize,
-        txn_ops: c.state.txn_ops,
+        state,
         cloud_rps: positive("cluster.cloud.rps", c.cloud.rps)?,
         list_lag: micros(positive("cluster.cloud.list_lag_s", c.cloud.list_lag_s)?),
     };
@@ -275,10 +330,39 @@
     fn settings_are_read_and_unknown_fields_ignored() {
         let (settings, endpoints) = parse(GOOD).expect("good settings");
         assert_eq!(settings.lease, 10_000_000);
-        assert_eq!(settings.value_bytes, 8192);
+        assert_eq!(settings.state.value_bytes, 8192);
         assert_eq!(endpoints.socket_limit, 1_024);
     }
 
+    /// What is written from the start fits the limits that come later at a moment nobody announces.
+    #[test]
+    fn the_smaller_of_present_and_next_limits_counts() {
+        let next = "txn_ops = 8\n[cluster.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nrps = 900.0\n";
+        let (settings, _) = parse(&GOOD.replace("txn_ops = 8", next)).expect("good settings");
+        let expected = StateLimits {
+            rps: 100.0,
+            write_rps: 15.0,
+            value_bytes: 2048,
+            txn_ops: 4,
+        };
+        assert_eq!(settings.state, expected);
+    }
+
+    #[test]
+    fn aims_of_services_are_read_and_unknown_kinds_left_alone() {
+        let aims = "[[cluster.objectives]]\nkind = \"up\"\nclass = \"feed\"\nafter_s = 5.0\n\
+                    worst_s = 30.0\nshare = 0.96\n[[cluster.objectives]]\nkind = \"other\"\n\
+                    after_s = \"noon\"\n";
+        let text = GOOD.replace("[cluster.workers]", &format!("{aims}[cluster.workers]"));
+        assert!(parse(&text).is_err(), "a time is a number in any aim");
+        let text = text.replace("\"noon\"", "-1.0");
+        let (settings, _) = parse(&text).expect("good settings");
+        assert!(settings.services_count());
+        assert_eq!(settings.objectives[0].after, Some(5_000_000));
+        assert_eq!(settings.objectives[0].worst, Some(30_000_000));
+        assert_eq!(settings.objectives[1].after, None);
+    }
+
     #[test]
     fn a_bad_field_is_named() {
         for (from, to, field) in [
@@ -291,6 +375,21 @@
             ("127.0.0.1:4", "state.example:4", "endpoints.state"),
             ("cpus = 1.0", "cpus = -1.0", "cluster.teams.cpus"),
             ("txn_ops = 8", "txn_ops = 2", "cluster.state.txn_ops"),
+            (
+                "txn_ops = 8",
+                "txn_ops = 8\n[cluster.state.next]\ntxn_ops = 0",
+                "cluster.state.next.txn_ops",
+            ),
+            (
+                "txn_ops = 8",
+                "txn_ops = 8\n[cluster.state.next]\nvalue_kb = -2.0",
+                "cluster.state.next.value_kb",
+            ),
+            (
+                "txn_ops = 8",
+                "txn_ops = 8\n[cluster.state.next]\nwrite_rps = nan",
+                "cluster.state.next.write_rps",
+            ),
         ] {
             let error = parse(&GOOD.replace(from, to)).expect_err(field);
             assert!(error.contains(field), "{error}");
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -3,6 +3,7 @@
 use crate::machines::{JobFacts, Machine};
 use crate::script::{Line, Script};
 use crate::state::{Reply, StateService};
+use grebewood_core::settings::StateLimits;
 use grebewood_core::{
     Door, Effect, Input, NoStopwatch, Node, Now, Objective, Outcome, Settings, Sibling, Target,
     Team, Tuning,
@@ -144,14 +145,18 @@
                 class: "work".into(),
                 within: Some(60 * S),
                 share: 0.9,
+                after: None,
+                worst: None,
             }],
             report: 1_500 * MS,
             lease: 10 * S,
             cancel: 30 * S,
-            state_rps: 100.0,
-            state_write_rps: 20.0,
-            value_bytes: 4096,
-            txn_ops: 8,
+            state: StateLimits {
+                rps: 100.0,
+                write_rps: 20.0,
+                value_bytes: 4096,
+                txn_ops: 8,
+            },
             cloud_rps: 8.0,
             list_lag: 3 * S,
         };
@@ -228,6 +233,8 @@
                     class: line.word(2)?.into(),
                     within: Some(line.time("within", 60.0)?),
                     share: 0.9,
+                    after: None,
+                    worst: None,
                 };
                 self.settings.objectives.push(aim);
             }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -49,6 +49,31 @@
     out
 }
 
+/// What a value takes in the form that size limits are counted in: JSON, with a blank after each
+/// separator. Text that JSON escapes counts as if every byte of it were.
+pub fn json_size(value: &Value) -> usize {
+    let text = |s: &str| {
+        let plain = s
+            .bytes()
+            .all(|b| matches!(b, b' '..=b'~') && b != b'"' && b != b'\\');
+        2 + s.len() * if plain { 1 } else { 6 }
+    };
+    match value {
+        Value::Integer(i) => i128::from(*i).to_string().len(),
+        Value::Float(x) => format!("{x:?}").len(),
+        Value::Bool(_) | Value::Null => 5,
+        Value::Text(s) => text(s),
+        Value::Bytes(b) => 2 + 2 * b.len(),
+        Value::Array(items) => 2 + items.iter().map(|v| json_size(v) + 2).sum::<usize>(),
+        Value::Map(items) => {
+            let pair = |(k, v): &(Value, Value)| json_size(k) + json_size(v) + 4;
+            2 + items.iter().map(pair).sum::<usize>()
+        }
+        Value::Tag(_, v) => json_size(v),
+        _ => 8,
+    }
+}
+
 /// Reads a message of another controller.
 pub fn from_peer<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, DecodeError> {
     rmp_serde::from_slice(bytes).map_err(|e| DecodeError(format!("not a peer message: {e}")))
