--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -12,7 +12,7 @@
 use crate::{micros, Micros, Stopwatch, SECOND};
 use grebewood_wire::http::{Precedence, Submission};
 use grebewood_wire::records::{MachineAssignments, PageRecord};
-use log::debug;
+use log::{debug, info};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A page of assignments: which machines are on it, and how large it is.
@@ -575,6 +575,15 @@
             expected,
             stop: None,
         };
+        if Shape::of(spec) == Some(Shape::Daemon) {
+            let image = m.has_image(&spec.bundle);
+            info!(
+                "{}/{task}: goes to {name} in {}, image there {image}, free {}",
+                spec.uid,
+                m.zone,
+                m.free().0
+            );
+        }
         m.use_image(&spec.bundle, spec.pull_gb);
         m.idle_since = now;
         self.page_mut(page).add(name, &assignment);
