--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,6 +1,6 @@
 //! The fleet: renting by the deadline decider, boots, returns, and the cloud's machine list.
 
-use crate::jobs::{fits_type, JobIx, Shape, EPS};
+use crate::jobs::{fits_type, Job, JobIx, Shape, EPS};
 use crate::leadership::Lead;
 use crate::ledger::Rec;
 use crate::node::{Ctx, LeadCall};
--- a/crates/core/src/fleet/decider.rs
+++ b/crates/core/src/fleet/decider.rs
@@ -18,6 +18,9 @@
 /// Work that waits: one job's tasks.
 struct Work<'a> {
     spec: &'a Submission,
+    /// The only zone that can take these tasks, if it is so: a job that is spread over zones needs
+    /// room in each of them.
+    zone: Option<String>,
     /// Waiting tasks.
     n: f64,
     /// Run time of a task, with its fetch, in seconds.
@@ -36,11 +39,24 @@
 }
 
 /// Tasks of each work that a machine can finish in time: the paper's `P`, times the slots.
-/// `delay` is what remains of a boot, in seconds, for a machine that is not up.
+/// `delay` is what remains of a boot, in seconds, for a machine that is not up. Gangs and services
+/// need a slot each now, and come before batch work: they share the slots among themselves. As a
+/// part of all work they once seemed to get next to nothing of a machine, and dozens were rented
+/// for a few replicas.
 fn power(work: &[Work], total: f64, delay: Option<f64>, slots: impl Fn(usize) -> f64) -> Vec<f64> {
+    let slots: Vec<f64> = (0..work.len()).map(slots).collect();
+    let now: f64 = work
+        .iter()
+        .zip(&slots)
+        .filter(|(w, slots)| !w.is_batch() && **slots > 0.0)
+        .map(|(w, _)| w.n)
+        .sum();
     work.iter()
-        .enumerate()
-        .map(|(i, w)| {
+        .zip(slots)
+        .map(|(w, slots)| {
+            if !w.is_batch() {
+                return slots * w.n / now.max(EPS);
+            }
             let d = match delay {
                 None => w.d,
                 Some(delay) => (w.d_booting - delay).max(0.0),
@@ -48,7 +64,7 @@
             if total <= 0.0 {
                 0.0
             } else {
-                d * w.n / total * slots(i)
+                d * w.n / total * slots
             }
         })
         .collect()
@@ -93,9 +109,11 @@
 }
 
 /// How many tasks fit an empty machine of the type; 0 if the job does not permit it.
-fn slots_of(t: &MachineType, zone: &str, spot: bool, spec: &Submission) -> f64 {
+fn slots_of(t: &MachineType, zone: &str, spot: bool, work: &Work) -> f64 {
+    let spec = work.spec;
     let permitted = (spec.loaner || !spot)
         && spec.yard.as_ref().is_none_or(|y| y == zone)
+        && work.zone.as_ref().is_none_or(|z| z == zone)
         && fits_type(spec, t);
     if permitted {
         slots((t.vcpus, t.accelerators, t.memory_gb), spec) as f64
@@ -104,6 +122,26 @@
     }
 }
 
+/// What each zone must take of `n` tasks of a job that is spread over zones, since the others may
+/// take no more. Without this, room in one zone once seemed to do for all, and half of the
+/// replicas of services waited for minutes.
+fn zone_needs(job: &Job, zones: &BTreeSet<&str>, n: f64) -> Vec<(Option<String>, f64)> {
+    if !job.spec.spread {
+        return Vec::new();
+    }
+    let most = job.tasks().div_ceil(2) as f64;
+    let left = |zone: &str| {
+        let here = job.zones.get(zone).copied().unwrap_or(0);
+        (most - f64::from(here)).max(0.0)
+    };
+    let all: f64 = zones.iter().map(|z| left(z)).sum();
+    zones
+        .iter()
+        .map(|z| (Some(z.to_string()), (n - (all - left(z))).max(0.0).min(n)))
+        .filter(|(_, need)| *need > EPS)
+        .collect()
+}
+
 impl Lead {
     /// The shortest average boot of all types.
     fn least_boot(&self, cx: &Ctx) -> Micros {
@@ -144,6 +182,8 @@
         let mut planned: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
         let mut work = Vec::new();
         let leaving = self.leaving_replicas();
+        let yards = cx.catalogue.iter().flatten().flat_map(|t| &t.yards);
+        let zones: BTreeSet<&str> = yards.map(String::as_str).collect();
         for (ix, j) in self.jobs.iter() {
             // One that keeps failing needs a machine for its next try: left out, it once had none for
             // good after its last was returned.
@@ -195,13 +235,25 @@
             }
             plan.0 += n * j.spec.vcpus;
             plan.1 += n * j.spec.accelerators;
-            work.push(Work {
-                spec: &j.spec,
-                n,
-                t,
-                d,
-                d_booting,
-            });
+            let mut parts = match j.shape {
+                // Tasks that run one after the other can wait for room anywhere.
+                Shape::Batch => Vec::new(),
+                _ => zone_needs(j, &zones, n),
+            };
+            let rest = n - parts.iter().map(|(_, n)| n).sum::<f64>();
+            if rest > EPS {
+                parts.push((None, rest));
+            }
+            for (zone, n) in parts {
+                work.push(Work {
+                    spec: &j.spec,
+                    zone,
+                    n,
+                    t,
+                    d,
+                    d_booting,
+                });
+            }
         }
         work
     }
@@ -256,7 +308,7 @@
                     true => work[i].d,
                     false => 0.0,
                 };
-                slots_of(build, &s.offer.1, s.offer.2, work[i].spec) * s.free_within(within)
+                slots_of(build, &s.offer.1, s.offer.2, &work[i]) * s.free_within(within)
             }));
         }
         for b in self.fleet.boots.values() {
@@ -276,7 +328,7 @@
                 false => boot.saturating_sub(spent) as f64 / 1e6,
             };
             add(power(work, total, Some(delay), |i| {
-                slots_of(build, &b.zone, b.spot, work[i].spec)
+                slots_of(build, &b.zone, b.spot, &work[i])
             }));
         }
         for h in self.fleet.hires.values().filter(|h| h.unlisted.is_none()) {
@@ -285,8 +337,7 @@
             };
             let boot = self.stats.boot_time(&build.name, micros(build.startup_s));
             add(power(work, total, Some(boot as f64 / 1e6), |i| {
-                h.record.number as f64
-                    * slots_of(build, &h.record.zone, h.record.spot, work[i].spec)
+                h.record.number as f64 * slots_of(build, &h.record.zone, h.record.spot, &work[i])
             }));
         }
         sum
@@ -355,7 +406,7 @@
         let power_of = |t: &MachineType, zone: &str, spot: bool| {
             let boot = self.stats.boot_time(&t.name, micros(t.startup_s)) as f64 / 1e6;
             power(&work, total, Some(boot), |i| {
-                slots_of(t, zone, spot, work[i].spec)
+                slots_of(t, zone, spot, &work[i])
             })
         };
         let mut have = self.power_of_fleet(cx, supply, &work);
@@ -516,7 +567,7 @@
             };
             // An empty machine's power, as it is part of the fleet's.
             let its = power(&work, total, None, |i| {
-                slots_of(build, &m.zone, m.spot, work[i].spec)
+                slots_of(build, &m.zone, m.spot, &work[i])
             });
             let covered = |((w, h), p): ((&Work, &f64), &f64)| h - p + EPS >= w.n;
             if !work.iter().zip(&have).zip(&its).all(covered) {
