--- a/crates/core/src/fleet/decider.rs
+++ b/crates/core/src/fleet/decider.rs
@@ -181,9 +181,25 @@
         let boot = self.least_boot(cx);
         let mut planned: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
         let mut work = Vec::new();
-        let leaving = self.leaving_replicas();
         let yards = cx.catalogue.iter().flatten().flat_map(|t| &t.yards);
         let zones: BTreeSet<&str> = yards.map(String::as_str).collect();
+        // What services are to find when they come takes no time of the fleet's.
+        if let Some((spec, n)) = self.standby.wanted(cx) {
+            for zone in zones
+                .iter()
+                .filter(|z| spec.yard.as_ref().is_none_or(|y| y == *z))
+            {
+                work.push(Work {
+                    spec,
+                    zone: Some(zone.to_string()),
+                    n: n as f64,
+                    t: 1.0,
+                    d: 1.0,
+                    d_booting: 1.0,
+                });
+            }
+        }
+        let leaving = self.leaving_replicas();
         for (ix, j) in self.jobs.iter() {
             // One that keeps failing needs a machine for its next try: left out, it once had none for
             // good after its last was returned.
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -10,6 +10,7 @@
 use crate::ledger::{Batch, Ledger, Rec, Rendered};
 use crate::node::{Ctx, LeadCall, Node, Pending, STATE_TIMEOUT};
 use crate::placement::{Placement, Usage};
+use crate::standby::Standby;
 use crate::stats::Stats;
 use crate::users::{absent, put};
 use crate::workers::{Assignment, Held, Machine, Parked, Seen};
@@ -158,6 +159,7 @@
     pub fleet: Fleet,
     pub stats: Stats,
     pub placement: Placement,
+    pub standby: Standby,
     pub held: Vec<Held>,
     /// When the first of them is answered whatever it waits for.
     pub held_until: Micros,
@@ -502,6 +504,7 @@
             fleet: Fleet::new(now),
             stats: Stats::default(),
             placement: Placement::default(),
+            standby: Standby::default(),
             held: Vec::new(),
             parked: Parked::default(),
             held_until: 0,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod pace;
 pub mod placement;
 pub mod settings;
+pub mod standby;
 pub mod stats;
 pub mod users;
 pub mod view;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -89,14 +89,16 @@
 }
 
 /// A machine with room, during a round.
-struct Open {
-    name: String,
-    zone: String,
-    machine_type: String,
-    spot: bool,
-    free: Room,
+pub(crate) struct Open {
+    pub name: String,
+    pub zone: String,
+    pub machine_type: String,
+    pub spot: bool,
+    pub free: Room,
     /// Room is being made on it for work of higher priority.
     kept: bool,
+    /// Its room is kept for services.
+    pub standby: bool,
 }
 
 /// Use of a team: CPUs and accelerators.
@@ -305,6 +307,7 @@
         self.placement.wanted = false;
         let queue = self.queue(cx);
         let mut open = self.open_machines(cx);
+        self.keep_standby(cx, &mut open);
         let mut order = queue.clone();
         order.retain(|ix| self.has_quota(cx, *ix));
         if let Some(from) = self.placement.resume.take() {
@@ -359,6 +362,7 @@
                 spot: m.spot,
                 free: m.free(),
                 kept: m.kept_until > now,
+                standby: false,
             })
             .collect()
     }
@@ -428,6 +432,7 @@
                 slots(o.free, &spec) > 0
                     && permits(cx, &spec, &o.machine_type, &o.zone, o.spot)
                     && (!o.kept || spec.precedence > Precedence::Idle)
+                    && (!o.standby || shape == Shape::Daemon)
             })
             .map(|(at, o)| {
                 let image = self
@@ -757,7 +762,7 @@
 type Preference = (bool, bool, bool, bool, i64);
 
 /// CPUs, accelerators and memory.
-type Room = (f64, f64, f64);
+pub(crate) type Room = (f64, f64, f64);
 
 /// Whether the job permits such a machine.
 pub(crate) fn permits(
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -173,6 +173,9 @@
     /// The same as a share of the longest time that an aim allows tasks to start in, where there is
     /// such an aim that is longer than a boot.
     backlog_share: f64 = 0.5, 0.05, 10.0;
+    /// Room kept free in each zone for services where an aim counts that they are served, in jobs of
+    /// the largest service seen.
+    standby_jobs: f64 = 2.0, 0.0, 100.0;
     /// What the risk of losing a spot machine adds to its price, as a factor.
     spot_risk: f64 = 1.25, 1.0, 10.0;
     /// How late a boot may be, as a multiple of the average, before it counts as overdue.
