--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -9,7 +9,7 @@
 use crate::ledger::Rec;
 use crate::node::Ctx;
 use crate::workers::{leeway, Assignment, Machine, Seen};
-use crate::{micros, Micros, Stopwatch, SECOND};
+use crate::{micros, Micros, Stopwatch, MILLI, SECOND};
 use grebewood_wire::http::{Precedence, Submission};
 use grebewood_wire::records::{MachineAssignments, PageRecord};
 use log::{debug, info};
@@ -582,10 +582,12 @@
         };
         if Shape::of(spec) == Some(Shape::Daemon) {
             let image = m.has_image(&spec.bundle);
+            let age = self.jobs.get(job).map_or(0, |j| j.age(now));
             info!(
-                "{}/{task}: goes to {name} in {}, image there {image}, free {}",
+                "{}/{task}: goes to {name} in {} after {} ms, image there {image}, free {}",
                 spec.uid,
                 m.zone,
+                age / MILLI,
                 m.free().0
             );
         }
