--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -243,6 +243,7 @@
         if now >= self.fleet.decide_at {
             self.fleet.decide_at = now + cx.tuning.decider_interval_us;
             self.check_boots(cx);
+            self.standby.update(cx, &self.jobs);
             self.decide(cx);
             self.give_back(cx);
             self.consolidate(cx);
--- a/crates/core/src/fleet/decider.rs
+++ b/crates/core/src/fleet/decider.rs
@@ -184,7 +184,7 @@
         let yards = cx.catalogue.iter().flatten().flat_map(|t| &t.yards);
         let zones: BTreeSet<&str> = yards.map(String::as_str).collect();
         // What services are to find when they come takes no time of the fleet's.
-        if let Some((spec, n)) = self.standby.wanted(cx) {
+        if let Some((spec, n)) = self.standby.wanted() {
             for zone in zones
                 .iter()
                 .filter(|z| spec.yard.as_ref().is_none_or(|y| y == *z))
--- a/crates/core/src/leadership/loading.rs
+++ b/crates/core/src/leadership/loading.rs
@@ -220,7 +220,7 @@
             Ok(record) if record.spec.uid == id => {
                 self.ledger.stamps.insert(key.to_string(), stamp);
                 let job = Job::new(record, cx.now.steady, cx.now.wall);
-                self.standby.note(&job);
+                self.standby.note(&job, cx.now.steady);
                 self.jobs.insert(job);
                 self.placement.want(cx.now.steady);
             }
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -86,11 +86,6 @@
             .max()
     }
 
-    /// Whether an aim counts that services of some class are served all the time.
-    pub fn services_count(&self) -> bool {
-        self.objectives.iter().any(|o| o.kind == "up")
-    }
-
     /// Whether an aim counts how soon tasks of the class start.
     pub fn starts_count(&self, class: &str) -> bool {
         self.objectives
@@ -173,8 +168,7 @@
     /// The same as a share of the longest time that an aim allows tasks to start in, where there is
     /// such an aim that is longer than a boot.
     backlog_share: f64 = 0.5, 0.05, 10.0;
-    /// Room kept free in each zone for services where an aim counts that they are served, in jobs of
-    /// the largest service seen.
+    /// Room kept free in each zone as long as there are services, in jobs of the largest one seen.
     standby_jobs: f64 = 2.0, 0.0, 100.0;
     /// What the risk of losing a spot machine adds to its price, as a factor.
     spot_risk: f64 = 1.25, 1.0, 10.0;
--- a/crates/core/src/standby.rs
+++ b/crates/core/src/standby.rs
@@ -1,20 +1,34 @@
 //! Room kept for services that are yet to come, or to come back from a machine that is gone.
 //!
-//! A replica is missed from its first seconds on, and a machine takes far longer to boot. So where an
-//! aim counts that services are served, the decider plans for some jobs' worth of replicas in each
-//! zone besides those that wait, and placement keeps that room from batch tasks.
+//! A replica is missed from its first seconds on, and a machine takes far longer to boot. So as long as
+//! there are services, the decider plans for some jobs' worth of replicas in each zone besides those
+//! that wait, and placement keeps that room from batch tasks. Before the first one comes nothing is
+//! known of it but that an aim may have a class start sooner than a machine boots: while no job of
+//! such a class was seen, one ordinary machine in each zone is kept free.
 
-use crate::jobs::{Job, EPS};
+use crate::jobs::{Job, Jobs, EPS};
 use crate::leadership::Lead;
 use crate::node::Ctx;
 use crate::placement::{permits, slots, Open};
-use grebewood_wire::http::Submission;
-use std::collections::BTreeMap;
+use crate::{micros, Micros, SECOND};
+use grebewood_wire::http::{Precedence, Submission};
+use std::collections::{BTreeMap, BTreeSet};
 
-/// The largest service seen, which the room is measured by.
+/// Room is kept for so long after the last service ended.
+const KEPT_AFTER: Micros = 120 * SECOND;
+
+/// Most classes that are remembered: their names are the users' words.
+const MOST_CLASSES: usize = 1_000;
+
+/// What is known of services.
 #[derive(Debug, Default)]
 pub struct Standby {
-    largest: Option<Submission>,
+    /// The largest service seen, which the room is measured by, and when one was last live.
+    largest: Option<(Submission, Micros)>,
+    /// Classes of which a job was seen.
+    classes: BTreeSet<String>,
+    /// What the room is measured by now, and how many of it are to find room in each zone.
+    wanted: Option<(Submission, u64)>,
 }
 
 /// Replicas of the job that one zone may have to take.
@@ -26,22 +40,83 @@
 }
 
 impl Standby {
-    /// Takes note of a service.
-    pub fn note(&mut self, job: &Job) {
+    /// Takes note of a job.
+    pub fn note(&mut self, job: &Job, now: Micros) {
+        if !self.classes.contains(&job.spec.workclass) && self.classes.len() < MOST_CLASSES {
+            self.classes.insert(job.spec.workclass.clone());
+        }
         let larger = |known: &Submission| {
             share(&job.spec) as f64 * job.spec.vcpus > share(known) as f64 * known.vcpus
         };
-        if job.is_daemon() && self.largest.as_ref().is_none_or(larger) {
-            self.largest = Some(job.spec.clone());
+        if job.is_daemon() && self.largest.as_ref().is_none_or(|(known, _)| larger(known)) {
+            self.largest = Some((job.spec.clone(), now));
         }
     }
 
-    /// What the room is measured by, and how many such replicas it is to hold in each zone; none if
-    /// no aim counts that services are served, or no service was seen yet.
-    pub fn wanted(&self, cx: &Ctx) -> Option<(&Submission, u64)> {
-        let spec = self.largest.as_ref()?;
-        let n = (share(spec) as f64 * cx.tuning.standby_jobs).ceil() as u64;
-        (cx.settings.services_count() && n > 0).then_some((spec, n))
+    /// Looks anew for what room is to be kept.
+    pub fn update(&mut self, cx: &Ctx, jobs: &Jobs) {
+        let now = cx.now.steady;
+        let any = jobs
+            .iter()
+            .any(|(_, j)| j.is_daemon() && j.cancelled.is_none());
+        if let Some((_, seen)) = &mut self.largest {
+            if any {
+                *seen = now;
+            } else if now.saturating_sub(*seen) > KEPT_AFTER {
+                self.largest = None;
+            }
+        }
+        self.wanted = match &self.largest {
+            Some((spec, _)) => {
+                let n = (share(spec) as f64 * cx.tuning.standby_jobs).ceil() as u64;
+                (n > 0).then(|| (spec.clone(), n))
+            }
+            None if cx.tuning.standby_jobs > 0.0 => self.unknown(cx).map(|spec| (spec, 1)),
+            None => None,
+        };
+    }
+
+    /// Stands for a job of a class that is to start sooner than a machine boots, and of which none was
+    /// seen yet: a whole ordinary machine of the cheapest type.
+    fn unknown(&self, cx: &Ctx) -> Option<Submission> {
+        let build = cx
+            .catalogue
+            .iter()
+            .flatten()
+            .min_by(|a, b| a.price.total_cmp(&b.price))?;
+        let boot = micros(build.startup_s);
+        let soon = cx.settings.objectives.iter().any(|o| {
+            o.kind == "wait"
+                && o.within.is_some_and(|within| within < boot)
+                && !self.classes.contains(&o.class)
+        });
+        soon.then(|| Submission {
+            uid: String::new(),
+            workclass: String::new(),
+            owner: String::new(),
+            shape: "daemon".into(),
+            precedence: Precedence::Prod,
+            shards: 1,
+            vcpus: build.vcpus,
+            accelerators: 0.0,
+            memory_gb: build.memory_gb,
+            bundle: String::new(),
+            pull_gb: 0.0,
+            builds: Some(vec![build.name.clone()]),
+            yard: None,
+            one_zone: false,
+            spread: false,
+            loaner: false,
+            expected_s: 0.0,
+            savepoint_s: 0.0,
+            flush_s: 0.0,
+            due_s: None,
+        })
+    }
+
+    /// What the room is measured by, and how many such replicas it is to hold in each zone.
+    pub fn wanted(&self) -> Option<(&Submission, u64)> {
+        self.wanted.as_ref().map(|(spec, n)| (spec, *n))
     }
 }
 
@@ -49,7 +124,7 @@
     /// Marks the machines whose free room is kept for services: in each zone the ones with replicas
     /// first, then the fullest, until it is as much as wanted.
     pub(crate) fn keep_standby(&self, cx: &Ctx, open: &mut [Open]) {
-        let Some((spec, wanted)) = self.standby.wanted(cx) else {
+        let Some((spec, wanted)) = self.standby.wanted() else {
             return;
         };
         let mut order: Vec<(bool, i64, usize)> = open
