Test daemons, lower limits and upgrades against stand-ins that enforce limits

The testkit's state service enforces sizes, changes, conditions and rates, and can lower them. Everything that is written or sent to a peer is read by the production version's own definitions, kept frozen; what it left in the middle of its work is taken over. Replicas on a recalled machine serve until there is room elsewhere.

--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -29,6 +29,8 @@
 const FREE_DELAY: Micros = 8 * SECOND;
 /// The part of the write rate that such removals may take.
 const FREE_WRITES: f64 = 0.2;
+/// A replica leaves a machine so long before the cloud takes it, wherever it is to go.
+const LAST_MOVE: Micros = 4 * SECOND;
 /// How long a replica of an earlier leader has run at least, as far as can be told.
 const LEAST_STAY: Micros = 30 * SECOND;
 /// A worker waits so long for an answer to its report before it goes to another node.
@@ -243,6 +245,7 @@
         }
         if report.recall_s.is_some() {
             self.drain_recalled(cx, &name);
+            self.move_replicas(cx, &name);
         }
         let mut deaf = false;
         if let Some(m) = self.machines.get_mut(&name) {
@@ -720,9 +723,12 @@
             }
             let flush = micros(job.spec.flush_s);
             if job.is_daemon() {
-                // It moves at once: each second here is one without a machine later.
-                let saves = job.spec.savepoint_s > 0.0 && left > flush + 2 * SECOND;
-                stops.push((a.attempt, if saves { leeway(flush) } else { 0 }));
+                // It serves on until there is room elsewhere, which is rented at once if there is none.
+                let saves = job.spec.savepoint_s > 0.0;
+                let last = if saves { leeway(flush) } else { 0 } + LAST_MOVE;
+                if left < last {
+                    stops.push((a.attempt, if saves { leeway(flush) } else { 0 }));
+                }
             } else if job.spec.savepoint_s > 0.0 {
                 if left < flush + 5 * SECOND {
                     stops.push((a.attempt, leeway(flush)));
@@ -952,41 +958,41 @@
         }
     }
 
-    /// Replicas on a machine that is to be returned never end by themselves: each is stopped once
-    /// there is room for it elsewhere.
+    /// Replicas on a machine that is to be returned, or that the cloud takes, never end by themselves:
+    /// they are stopped once there is room for them elsewhere.
     fn move_replicas(&mut self, cx: &mut Ctx, name: &str) {
-        let Some(m) = self.machines.get(name).filter(|m| m.closing) else {
+        let going = |m: &&Machine| m.closing || m.recall_at.is_some();
+        let Some(m) = self.machines.get(name).filter(going) else {
             return;
         };
-        let moves: Vec<(u64, Micros)> = m
-            .assignments
-            .iter()
-            .filter(|a| a.stop.is_none())
-            .filter_map(|a| {
-                let job = self.jobs.get(a.job).filter(|j| j.is_daemon())?;
-                let leeway = match job.spec.savepoint_s > 0.0 {
-                    true => leeway(micros(job.spec.flush_s)),
-                    false => 0,
-                };
-                self.room_elsewhere(cx, a, &job.spec)
-                    .then_some((a.attempt, leeway))
-            })
-            .collect();
-        // One at a time, since they may mean the same room.
-        if let Some((attempt, leeway)) = moves.first().copied() {
+        let mut moves: Vec<(u64, Micros)> = Vec::new();
+        for a in m.assignments.iter().filter(|a| a.stop.is_none()) {
+            let Some(job) = self.jobs.get(a.job).filter(|j| j.is_daemon()) else {
+                continue;
+            };
+            let leeway = match job.spec.savepoint_s > 0.0 {
+                true => leeway(micros(job.spec.flush_s)),
+                false => 0,
+            };
+            // Those that move already mean the same room.
+            if self.room_elsewhere(cx, &a.zone, &job.spec) > moves.len() as u64 {
+                moves.push((a.attempt, leeway));
+            }
+        }
+        for (attempt, leeway) in moves {
             self.stop_on(cx, name, leeway, |a| a.attempt == attempt);
         }
     }
 
-    /// Whether a machine of the same zone has room for the task of the assignment.
-    fn room_elsewhere(&self, cx: &Ctx, a: &Assignment, spec: &Submission) -> bool {
+    /// How many tasks of the job the machines of a zone have room for.
+    fn room_elsewhere(&self, cx: &Ctx, zone: &str, spec: &Submission) -> u64 {
         let (now, silence) = (cx.now.steady, 3 * cx.settings.report);
-        self.machines.values().any(|m| {
-            m.zone == a.zone
-                && m.usable(now, silence)
-                && slots(m.free(), spec) > 0
-                && permits(cx, spec, &m.machine_type, &m.zone, m.spot)
-        })
+        self.machines
+            .values()
+            .filter(|m| m.zone == zone && m.usable(now, silence))
+            .filter(|m| permits(cx, spec, &m.machine_type, &m.zone, m.spot))
+            .map(|m| slots(m.free(), spec))
+            .sum()
     }
 }
 
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 //! The rules of the protocol are checked at every step; a broken one ends the scenario.
 
 pub mod machines;
+pub mod production;
 pub mod script;
 pub mod state;
 pub mod world;
--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -7,6 +7,11 @@
 //! workers report=1.5 lease=10 cancel=30
 //! aim wait CLASS within=60                 beside: the class work finishes within 60 s
 //! team NAME cpus=16 max=32
+//! state value=4 ops=8 writes=20 rps=100 [next_value=2 next_ops=4 ...]   what the state service takes
+//!                                           (KiB, changes, a second), and what it announces for later
+//! old NODE ...                              these do not know what is announced: the version before
+//! store NAME age=30                         data/NAME.txt: what the version before left in the middle
+//!                                           of its work, 30 s after its start
 //! type NAME cpus=8 mem=32 price=1 spot=0.3 boot=10 cap=4 spotcap=2 zones=a,b
 //! machines TYPE zone=a count=2 [spot=yes]   up at the start: n-000000, n-000001, ...
 //! ```
@@ -26,6 +31,12 @@
 //! at 5  machines N                          so many machines are rented
 //! at 5  request METHOD PATH STATUS [BODY]   a raw request at every node; BODY: hex digits
 //! at 5  crash NODE|leader|all [for=4]
+//! at 5  upgrade NODE [for=4]                it ends and comes back with the new version
+//! at 5  limits value=2 ops=4 writes=15      the state service's limits change
+//! at 5  busy for=10                         every change of state is answered 429
+//! at 5  largest most=2                      no value is larger than that (KiB)
+//! at 5  refused most=0                      at most so many transactions were malformed so far
+//! at 5  serving JOB N [zone=a]              so many of its tasks run
 //! at 5  cut NODE|leader state|workers|peers|all for=10 [hold=yes]
 //! at 5  freeze NODE|leader for=30           it stands still while its clocks run on
 //! at 5  refuse NODE|leader for=10           the state service answers it 503
--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -1,5 +1,6 @@
 //! Stand-in for the state service.
 
+use grebewood_core::settings::StateLimits;
 use grebewood_wire::http::{Change, Txn};
 use grebewood_wire::{from_cbor, to_cbor, Value};
 use serde::Serialize;
@@ -48,6 +49,32 @@
     log: VecDeque<Logged>,
     pub waiting: Vec<Waiting>,
     pub down: bool,
+    /// What it takes: more than a second's worth is answered 429, larger ones 400.
+    pub limits: Option<StateLimits>,
+    /// Requests and changes that may still come, and as of when.
+    tokens: (f64, f64, Micros),
+    /// Until then every change is answered 429.
+    pub busy_until: Micros,
+    /// Requests that were answered 400, and keys of values that were too large.
+    pub refused: u64,
+}
+
+/// What a value takes as JSON without blanks: the service counts sizes so.
+fn json_len(value: &Value) -> usize {
+    let list = |sizes: &mut dyn Iterator<Item = usize>| {
+        let (n, sum) = sizes.fold((0, 0), |(n, sum), size| (n + 1, sum + size));
+        2 + sum + usize::max(n, 1) - 1
+    };
+    match value {
+        Value::Integer(i) => i128::from(*i).to_string().len(),
+        Value::Float(x) => x.to_string().len(),
+        Value::Bool(b) => b.to_string().len(),
+        Value::Null => 4,
+        Value::Text(s) => s.len() + 2,
+        Value::Array(items) => list(&mut items.iter().map(json_len)),
+        Value::Map(items) => list(&mut items.iter().map(|(k, v)| json_len(k) + 1 + json_len(v))),
+        _ => 0,
+    }
 }
 
 #[derive(Serialize)]
@@ -148,6 +175,55 @@
         true
     }
 
+    /// Puts a record there that was written before, with its stamp.
+    pub fn load(&mut self, key: &str, value: Value, stamp: u64) {
+        self.epoch = self.epoch.max(stamp);
+        let item = Item {
+            value,
+            stamp,
+            tether: None,
+        };
+        self.items.insert(key.to_string(), item);
+    }
+
+    /// Takes tokens for requests and changes; no is answered 429.
+    fn may(&mut self, now: Micros, requests: f64, changes: f64) -> bool {
+        let Some(limits) = self.limits else {
+            return true;
+        };
+        let (r, w, at) = self.tokens;
+        let passed = (now - at) as f64 / 1e6;
+        let r = (r + passed * limits.rps).min(limits.rps);
+        let w = (w + passed * limits.write_rps).min(limits.write_rps);
+        let ok = r >= requests && w >= changes && (changes == 0.0 || now >= self.busy_until);
+        self.tokens = match ok {
+            true => (r - requests, w - changes, now),
+            false => (r, w, now),
+        };
+        ok
+    }
+
+    /// Why a transaction is malformed, if it is.
+    fn malformed(&self, txn: &Txn) -> Option<String> {
+        let limits = self.limits?;
+        if txn.apply.len() > limits.txn_ops || txn.when.len() > 4 * limits.txn_ops {
+            return Some("too many operations".into());
+        }
+        txn.apply.iter().find_map(|c| match c {
+            Change::Put { put, value, .. } => {
+                (json_len(value) > limits.value_bytes).then(|| format!("{put} is too large"))
+            }
+            Change::Delete { .. } => None,
+        })
+    }
+
+    /// The largest value there, and its key.
+    pub fn largest(&self) -> (usize, &str) {
+        let sizes = self.items.iter();
+        let sizes = sizes.map(|(k, i)| (json_len(&i.value), k.as_str()));
+        sizes.max().unwrap_or((0, ""))
+    }
+
     /// Whether a key is there.
     pub fn has(&self, key: &str) -> bool {
         self.items.contains_key(key)
@@ -169,6 +245,9 @@
         if self.down && path != "/changes" {
             return Reply::Now(503, Vec::new());
         }
+        if !self.may(now, 1.0, 0.0) {
+            return Reply::Now(429, Vec::new());
+        }
         match (method, path) {
             ("GET", "/kv") => self.list(&query),
             ("GET", "/changes") => {
@@ -181,7 +260,7 @@
                 });
                 Reply::Later
             }
-            ("POST", "/txn") => self.txn(body),
+            ("POST", "/txn") => self.txn(now, body),
             ("POST", "/leases") => {
                 let life: BTreeMap<String, u64> = from_cbor(body).unwrap_or_default();
                 let life = life.get("life_ms").copied().unwrap_or(1_000) * 1_000;
@@ -259,10 +338,17 @@
         Reply::Now(200, to_cbor(&out))
     }
 
-    fn txn(&mut self, body: &[u8]) -> Reply {
+    fn txn(&mut self, now: Micros, body: &[u8]) -> Reply {
         let Ok(txn) = from_cbor::<Txn>(body) else {
             return Reply::Now(400, Vec::new());
         };
+        if let Some(why) = self.malformed(&txn) {
+            self.refused += 1;
+            return Reply::Now(400, to_cbor(&BTreeMap::from([("error", why)])));
+        }
+        if !self.may(now, 0.0, txn.apply.len() as f64) {
+            return Reply::Now(429, Vec::new());
+        }
         let failed: Vec<String> = txn
             .when
             .iter()
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -1,6 +1,7 @@
 //! The simulated world: plays a script and checks the rules.
 
-use crate::machines::{JobFacts, Machine};
+use crate::machines::{JobFacts, Machine, Task};
+use crate::production;
 use crate::script::{Line, Script};
 use crate::state::{Reply, StateService};
 use grebewood_core::settings::StateLimits;
@@ -9,8 +10,8 @@
     Team, Tuning,
 };
 use grebewood_wire::http::{
-    CheckinAnswer, DirectOrders, JobStatus, ListedMachine, MachineList, MachineType, Perches,
-    Precedence, Redirect, RentalRequest, Submission,
+    Change, CheckinAnswer, DirectOrders, JobStatus, ListedMachine, MachineList, MachineType,
+    Perches, Precedence, Redirect, RentalRequest, Submission, Txn,
 };
 use grebewood_wire::{from_cbor, to_cbor};
 use std::collections::{BTreeMap, BTreeSet};
@@ -60,6 +61,8 @@
         body: Vec<u8>,
         asker: Asker,
     },
+    /// The limits of the state service change.
+    Limits(StateLimits),
     Answered(Asker, usize, u16, Vec<u8>),
     /// A late copy of a report, for whoever leads then.
     Copy(Vec<u8>),
@@ -106,6 +109,12 @@
     seq: u64,
     slots: Vec<Slot>,
     settings: Settings,
+    /// The limits that the state service announces, and the nodes that do not know of them: they
+    /// stand for the version before, whose formats are the same.
+    next_limits: Option<StateLimits>,
+    old: BTreeSet<usize>,
+    /// Time of day at the start.
+    wall: Micros,
     state: StateService,
     state_tickets: BTreeMap<u64, Caller>,
     types: Vec<MachineType>,
@@ -133,6 +142,28 @@
     broken: Option<String>,
 }
 
+/// Reads hexadecimal digits.
+pub(crate) fn unhex(hex: &str) -> Result<Vec<u8>, String> {
+    let digits = hex.as_bytes().chunks(2);
+    digits
+        .map(|pair| {
+            let text = std::str::from_utf8(pair).map_err(|e| e.to_string())?;
+            u8::from_str_radix(text, 16).map_err(|e| e.to_string())
+        })
+        .collect()
+}
+
+/// Limits of the state service among a line's options; what is missing stays as it is.
+fn limits_of(line: &Line, prefix: &str, now: StateLimits) -> Result<StateLimits, String> {
+    let number = |key: &str, default| line.number(&format!("{prefix}{key}"), default);
+    Ok(StateLimits {
+        rps: number("rps", now.rps)?,
+        write_rps: number("writes", now.write_rps)?,
+        value_bytes: (number("value", now.value_bytes as f64 / 1024.0)? * 1024.0) as usize,
+        txn_ops: number("ops", now.txn_ops as f64)? as usize,
+    })
+}
+
 impl World {
     pub fn new(script: Script) -> Result<Self, String> {
         let settings = Settings {
@@ -167,6 +198,9 @@
             seq: 0,
             slots: Vec::new(),
             settings,
+            next_limits: None,
+            old: BTreeSet::new(),
+            wall: WALL,
             state: StateService::default(),
             state_tickets: BTreeMap::new(),
             types: Vec::new(),
@@ -196,6 +230,7 @@
         for line in &script.setup {
             w.set_up(line, &mut nodes)?;
         }
+        w.state.limits = Some(w.settings.state);
         for n in 0..nodes {
             w.slots.push(Slot {
                 node: None,
@@ -227,6 +262,30 @@
                 s.lease = line.time("lease", 10.0)?;
                 s.cancel = line.time("cancel", 30.0)?;
             }
+            "state" => {
+                let s = self.settings.state;
+                self.settings.state = limits_of(line, "", s)?;
+                if line.options.keys().any(|k| k.starts_with("next_")) {
+                    self.next_limits = Some(limits_of(line, "next_", self.settings.state)?);
+                }
+            }
+            "old" => {
+                for word in &line.words[1..] {
+                    let n = word.parse();
+                    self.old
+                        .insert(n.map_err(|_| format!("line {}: no node", line.number))?);
+                }
+            }
+            "store" => {
+                let name = line.word(1)?;
+                let path = format!("{}/data/{name}.txt", env!("CARGO_MANIFEST_DIR"));
+                let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
+                for (i, line) in text.lines().enumerate() {
+                    self.load(line)
+                        .map_err(|e| format!("{path}: line {}: {e}", i + 1))?;
+                }
+                self.wall = WALL + line.time("age", 0.0)?;
+            }
             "aim" => {
                 let aim = Objective {
                     kind: line.word(1)?.into(),
@@ -288,6 +347,104 @@
         Ok(())
     }
 
+    /// Takes in one line of what an earlier version left.
+    fn load(&mut self, line: &str) -> Result<(), String> {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let word = |at: usize| {
+            words
+                .get(at)
+                .copied()
+                .ok_or("a word is missing".to_string())
+        };
+        let number = |at: usize| {
+            word(at).and_then(|w| w.parse::<u64>().map_err(|_| format!("{w}: no number")))
+        };
+        let option = |key: &str| {
+            let found = words
+                .iter()
+                .find_map(|w| w.strip_prefix(key)?.strip_prefix('='));
+            found.ok_or(format!("{key} is missing"))
+        };
+        match words.first().copied().unwrap_or("#") {
+            "record" => {
+                let value = from_cbor(&unhex(word(3)?)?).map_err(|e| e.to_string())?;
+                self.state.load(word(1)?, value, number(2)?);
+            }
+            "machine" => {
+                let name = self.rent(word(2)?, word(3)?, word(4)? == "yes");
+                if name != word(1)? {
+                    return Err(format!("{name} is not the next machine"));
+                }
+                let Some(m) = self.machines.get_mut(&name) else {
+                    return Err("no such machine".into());
+                };
+                m.up_at = Some(if word(5)? == "up" { 0 } else { number(5)? });
+                (m.tenure, m.tally, m.warrant) = (number(6)?, number(7)?, number(8)?);
+            }
+            "task" => {
+                let shard = word(2)?.to_string();
+                let status = ["fetching", "running", "saving", "exited"];
+                let status = status.into_iter().find(|s| word(4) == Ok(s));
+                let task = Task {
+                    attempt: number(3)?,
+                    status: status.ok_or("no such state")?,
+                    cause: (word(5)? == "done").then_some("done"),
+                    saved: false,
+                    ends: number(6)?,
+                    cpus: 0.0,
+                    shard,
+                };
+                let m = self.machine_mut(word(1)?)?;
+                m.tasks.push(task);
+            }
+            "hire" => {
+                let perches = words[2..].iter().map(|w| w.to_string()).collect();
+                self.hires.insert(word(1)?.into(), perches);
+            }
+            "job" => {
+                let yes = |key: &str| option(key).map(|v| v == "true");
+                let time = |key: &str| {
+                    let text = option(key)?;
+                    text.parse::<Micros>()
+                        .map_err(|_| format!("{key}: no time"))
+                };
+                let spec: Submission =
+                    from_cbor(&unhex(option("spec")?)?).map_err(|e| e.to_string())?;
+                let facts = JobFacts {
+                    cpus: spec.vcpus,
+                    run: time("run")?,
+                    flush: time("flush")?,
+                    saves: yes("saves")?,
+                    fails: false,
+                };
+                let tasks = self.machines.values_mut().flat_map(|m| &mut m.tasks);
+                let prefix = format!("{}/", spec.uid);
+                for t in tasks.filter(|t| t.shard.starts_with(&prefix)) {
+                    t.cpus = spec.vcpus;
+                }
+                self.facts.insert(word(1)?.into(), facts);
+                let seen = JobSeen {
+                    spec,
+                    accepted: yes("accepted")?,
+                    cancelled_at: yes("cancelled")?.then_some(0),
+                    done: yes("done")?,
+                    completed: BTreeSet::new(),
+                    starts: 0,
+                };
+                self.jobs.insert(word(1)?.into(), seen);
+            }
+            "completed" => {
+                let shard = word(1)?;
+                let job = shard.rsplit_once('/').map_or("", |(j, _)| j);
+                let seen = self.jobs.get_mut(job).ok_or("no such job")?;
+                seen.completed.insert(shard.into());
+            }
+            "#" | "epoch" | "peer-request" | "peer-answer" => {}
+            other => return Err(format!("{other}: unknown")),
+        }
+        Ok(())
+    }
+
     fn rent(&mut self, machine_type: &str, zone: &str, spot: bool) -> String {
         let name = format!("n-{:06}", self.next_machine);
         self.next_machine += 1;
@@ -373,6 +530,9 @@
             }
             Ev::Start(n) => {
                 let mut settings = self.settings.clone();
+                if let (Some(next), false) = (self.next_limits, self.old.contains(&n)) {
+                    settings.state = settings.state.smaller_of(next);
+                }
                 settings.member = format!("perch-{n}");
                 settings.siblings = (0..self.slots.len())
                     .filter(|p| *p != n)
@@ -442,6 +602,10 @@
                 self.step(node, process, input);
                 Ok(())
             }
+            Ev::Limits(limits) => {
+                self.state.limits = Some(limits);
+                Ok(())
+            }
             Ev::Answered(asker, node, status, body) => self.answered(asker, node, status, body),
             Ev::Copy(body) => {
                 let leaders: Vec<usize> =
@@ -479,7 +643,7 @@
     fn step(&mut self, n: usize, process: u64, input: Input) {
         let now = Now {
             steady: self.now,
-            wall: WALL + self.now,
+            wall: self.wall + self.now,
         };
         let slot = &mut self.slots[n];
         if slot.process != process {
@@ -614,6 +778,10 @@
                 }
             }
             Target::Peer(p) => {
+                if let Err(e) = production::check_peer_request(&call.body) {
+                    let e = format!("the version in production cannot read a peer message: {e}");
+                    self.broken.get_or_insert(e);
+                }
                 let to = (0..self.slots.len()).filter(|o| *o != n).nth(p);
                 let Some(to) = to else { return };
                 let ways = (self.arrival(n, "peers", MS), self.arrival(to, "peers", MS));
@@ -661,6 +829,17 @@
             }
             return;
         }
+        if let Ok(txn) = from_cbor::<Txn>(body) {
+            for change in &txn.apply {
+                let Change::Put { put, value, .. } = change else {
+                    continue;
+                };
+                if let Err(e) = production::check_record(put, value) {
+                    let e = format!("the version in production cannot read a record: {e}");
+                    self.broken.get_or_insert(e);
+                }
+            }
+        }
         self.seq += 1;
         let ticket = self.seq;
         match self.state.request(self.now, ticket, method, path, body) {
@@ -724,6 +903,9 @@
         };
         match status {
             "done" => {
+                if seen.spec.shape == "daemon" {
+                    return Err(format!("not_done: {job} is a daemon and said to be done"));
+                }
                 if seen.completed.len() as u64 != seen.spec.shards {
                     return Err(format!("not_done: {job} is said to be done"));
                 }
@@ -822,6 +1004,9 @@
                 }
             }
             Asker::Peer(caller) => {
+                if status == 200 {
+                    production::check_peer_answer(&body)?;
+                }
                 if self.arrival(node, "peers", MS).is_some() {
                     self.reply(caller, "peers", MS, status, body);
                 }
@@ -1231,10 +1416,7 @@
                 let status = line.word(3)?.parse().map_err(|_| "no status".to_string())?;
                 let body = match line.words.get(4) {
                     None => Vec::new(),
-                    Some(hex) => (0..hex.len() / 2)
-                        .map(|i| u8::from_str_radix(&hex[2 * i..2 * i + 2], 16))
-                        .collect::<Result<_, _>>()
-                        .map_err(|e| e.to_string())?,
+                    Some(hex) => unhex(hex)?,
                 };
                 for n in self.up_nodes() {
                     self.expected += 1;
@@ -1267,6 +1449,47 @@
                     return Err(format!("{got} machines are rented"));
                 }
             }
+            "upgrade" => {
+                let n = self.node_named(line.word(1)?)?;
+                self.old.remove(&n);
+                let crash = Line {
+                    words: vec!["crash".into(), n.to_string()],
+                    ..line
+                };
+                return self.script(crash);
+            }
+            "limits" => {
+                let limits =
+                    limits_of(&line, "", self.state.limits.unwrap_or(self.settings.state))?;
+                self.push(now, Ev::Limits(limits));
+            }
+            "busy" => self.state.busy_until = now + line.time("for", 10.0)?,
+            "largest" => {
+                let (size, key) = self.state.largest();
+                let most = (line.number("most", 2.0)? * 1024.0) as usize;
+                if size > most {
+                    return Err(format!("{key} has {size} bytes"));
+                }
+            }
+            "refused" => {
+                let most = line.number("most", 0.0)? as u64;
+                if self.state.refused > most {
+                    return Err(format!("{} requests were malformed", self.state.refused));
+                }
+            }
+            "serving" => {
+                let prefix = format!("{}/", line.word(1)?);
+                let machines = self.machines.values().filter(|m| !m.gone && m.up);
+                let zone = line.options.get("zone");
+                let got = machines
+                    .filter(|m| zone.is_none_or(|z| *z == m.zone))
+                    .flat_map(|m| m.live())
+                    .filter(|t| t.status == "running" && t.shard.starts_with(&prefix))
+                    .count();
+                if got.to_string() != line.word(2)? {
+                    return Err(format!("{got} replicas are served"));
+                }
+            }
             "crash" => {
                 let nodes = match line.word(1)? {
                     "all" => (0..self.slots.len()).collect(),
