Test that jobs stay known and that half of all is served; keep unreadable jobs known

Users ask about every job in every scenario, and one that gets no answer for 75 s after the last trouble is forgotten. A job whose record cannot be read was refused for good: it is pending now and can be cancelled. What was on a released machine leaves its page within 2 s, since no report tells the next leader that it is gone.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -26,6 +26,8 @@
     Release { machines: Vec<String> },
 }
 
+/// How long the removal of what was on a released machine may wait to be written.
+const RELEASED_DELAY: Micros = 2 * SECOND;
 /// Most names in one release.
 const RELEASE_MOST: usize = 100;
 const CLOUD_TIMEOUT: Micros = 4 * SECOND;
@@ -385,12 +387,16 @@
         }
         self.fleet.boots.remove(name);
         self.fleet.mute.remove(name);
-        while self
+        while let Some(page) = self
             .machines
             .get(name)
-            .is_some_and(|m| !m.assignments.is_empty())
+            .and_then(|m| m.assignments.first())
+            .map(|a| a.page)
         {
             self.free(cx, name, 0);
+            // No report will tell the next leader: it would wait for this machine's lease.
+            let due = cx.now.steady + RELEASED_DELAY;
+            self.ledger.touch_by(Rec::Page(page), due);
         }
         self.machines.remove(name);
         self.refuse_held(cx, name, "the machine was returned");
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -255,10 +255,8 @@
                 call.live = Some((job.tasks, job.stamp));
                 self.user_cancelled(&call);
             }
-            // Only an unreadable record has no tasks.
-            Some(job) if job.tasks == 0 => {
-                self.cx.refuse(call.request, 503, "unreadable record");
-            }
+            // A job whose record cannot be read (only such a one has no tasks) cannot run, but it stays
+            // known: questions about it once went without an answer for good.
             Some(job) => {
                 call.live = Some((job.tasks, job.stamp));
                 self.user_found_live(call);
--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -9,6 +9,7 @@
 //! team NAME cpus=16 max=32
 //! state value=4 ops=8 writes=20 rps=100 [next_value=2 next_ops=4 ...]   what the state service takes
 //!                                           (KiB, changes, a second), and what it announces for later
+//! tuning KEY=VALUE ...                      operators' settings
 //! old NODE ...                              these do not know what is announced: the version before
 //! store NAME age=30                         data/NAME.txt: what the version before left in the middle
 //!                                           of its work, 30 s after its start
@@ -36,6 +37,8 @@
 //! at 5  busy for=10                         every change of state is answered 429
 //! at 5  largest most=2                      no value is larger than that (KiB)
 //! at 5  refused most=0                      at most so many transactions were malformed so far
+//! at 5  halves                              at least half of each class, of each team and of each class's
+//!                                           largest jobs is served, and the largest began within 240 s
 //! at 5  serving JOB N [zone=a]              so many of its tasks run
 //! at 5  cut NODE|leader state|workers|peers|all for=10 [hold=yes]
 //! at 5  freeze NODE|leader for=30           it stands still while its clocks run on
@@ -55,6 +58,9 @@
 //! at 5  corrupt KEY                         the record becomes unreadable
 //! end 60
 //! ```
+//!
+//! All the while users ask about every job every 5 s. Once all troubles are over, one about which no
+//! question is answered for 75 s is forgotten.
 
 use std::collections::BTreeMap;
 
@@ -112,6 +118,35 @@
     pub end: Micros,
 }
 
+/// What counts as trouble, for how long if the line does not say.
+const TROUBLES: [(&str, Micros); 12] = [
+    ("crash", 4_000_000),
+    ("upgrade", 4_000_000),
+    ("cut", 10_000_000),
+    ("freeze", 30_000_000),
+    ("refuse", 10_000_000),
+    ("state", 10_000_000),
+    ("cloud", 10_000_000),
+    ("busy", 10_000_000),
+    ("late", 10_000_000),
+    ("deaf", 30_000_000),
+    ("copies", 10_000_000),
+    ("hang", 5_000_000),
+];
+
+impl Script {
+    /// When the last trouble is over.
+    pub fn troubles_end(&self) -> Micros {
+        let end = |(at, line): &(Micros, Line)| {
+            let word = line.words.first()?;
+            let (_, default) = TROUBLES.iter().find(|(verb, _)| verb == word)?;
+            let takes = line.time("for", *default as f64 / 1e6).ok()?;
+            Some(at + takes + line.time("late", 0.0).ok()?)
+        };
+        self.events.iter().filter_map(end).max().unwrap_or(0)
+    }
+}
+
 fn seconds(text: &str, number: usize) -> Result<Micros, String> {
     let s: f64 = text
         .parse()
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -35,6 +35,8 @@
 enum Asker {
     Submit(String),
     Cancel(String),
+    /// A user's question, which may be refused; but not for good.
+    Poll(String),
     /// A poll that must give this status; the line that says so.
     Expect(String, String, usize),
     Raw(u16, usize),
@@ -89,8 +91,20 @@
     done: bool,
     completed: BTreeSet<String>,
     starts: u64,
+    submitted: Micros,
+    /// When a task of it first came onto a machine.
+    began: Option<Micros>,
+    /// When a question about it was last answered, or it was accepted.
+    answered: Micros,
 }
 
+/// Once all troubles are over, a job about which no question is answered for so long is forgotten.
+const FORGOTTEN_AFTER: Micros = 75 * S;
+/// How often users ask about each job.
+const ASK_EVERY: Micros = 5 * S;
+/// The largest jobs of a class must begin within this time.
+const BEGIN_WITHIN: Micros = 240 * S;
+
 struct Slot {
     node: Option<Node>,
     process: u64,
@@ -109,12 +123,16 @@
     seq: u64,
     slots: Vec<Slot>,
     settings: Settings,
+    tuning: Tuning,
     /// The limits that the state service announces, and the nodes that do not know of them: they
     /// stand for the version before, whose formats are the same.
     next_limits: Option<StateLimits>,
     old: BTreeSet<usize>,
     /// Time of day at the start.
     wall: Micros,
+    /// When the last trouble of the script is over.
+    untroubled: Micros,
+    next_ask: Micros,
     state: StateService,
     state_tickets: BTreeMap<u64, Caller>,
     types: Vec<MachineType>,
@@ -198,9 +216,12 @@
             seq: 0,
             slots: Vec::new(),
             settings,
+            tuning: Tuning::default(),
             next_limits: None,
             old: BTreeSet::new(),
             wall: WALL,
+            untroubled: script.troubles_end(),
+            next_ask: ASK_EVERY,
             state: StateService::default(),
             state_tickets: BTreeMap::new(),
             types: Vec::new(),
@@ -269,6 +290,12 @@
                     self.next_limits = Some(limits_of(line, "next_", self.settings.state)?);
                 }
             }
+            "tuning" => {
+                for (key, value) in &line.options {
+                    let set = self.tuning.set(key, value);
+                    set.map_err(|e| format!("line {}: {e}", line.number))?;
+                }
+            }
             "old" => {
                 for word in &line.words[1..] {
                     let n = word.parse();
@@ -430,6 +457,9 @@
                     done: yes("done")?,
                     completed: BTreeSet::new(),
                     starts: 0,
+                    submitted: 0,
+                    began: None,
+                    answered: 0,
                 };
                 self.jobs.insert(word(1)?.into(), seen);
             }
@@ -543,7 +573,7 @@
                     .collect();
                 let process = self.seq + 1;
                 self.slots[n] = Slot {
-                    node: Some(Node::new(settings, Tuning::default(), process)),
+                    node: Some(Node::new(settings, self.tuning.clone(), process)),
                     process,
                     frozen_until: 0,
                     unsure: false,
@@ -895,6 +925,79 @@
         self.ask(node, "POST", path, Vec::new(), asker);
     }
 
+    /// Users ask about every job, each some node that is up; none may go without an answer for long
+    /// once all troubles are over.
+    fn ask_about_all(&mut self) -> Result<(), String> {
+        let live = |j: &JobSeen| j.accepted && !j.done && j.cancelled_at.is_none();
+        let jobs: Vec<(String, Micros)> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| live(j))
+            .map(|(id, j)| (id.clone(), j.answered))
+            .collect();
+        for (job, answered) in jobs {
+            let since = answered.max(self.untroubled);
+            if self.now.saturating_sub(since) > FORGOTTEN_AFTER {
+                return Err(format!("forgotten: no question about {job} is answered"));
+            }
+            let node = self.any_node();
+            let path = format!("/submissions/{job}");
+            self.ask(node, "GET", path, Vec::new(), Asker::Poll(job));
+        }
+        Ok(())
+    }
+
+    /// At least half of each class, of each team and of each class's largest jobs must be served, and
+    /// the largest must have begun in time. Jobs that came lately or were cancelled do not count.
+    fn check_halves(&self) -> Result<(), String> {
+        let old = |j: &&JobSeen| j.accepted && self.now > j.submitted + BEGIN_WITHIN;
+        let jobs: Vec<&JobSeen> = self
+            .jobs
+            .values()
+            .filter(|j| j.cancelled_at.is_none())
+            .filter(old)
+            .collect();
+        let mut groups: BTreeMap<String, Vec<&JobSeen>> = BTreeMap::new();
+        for j in &jobs {
+            let (class, team) = (&j.spec.workclass, &j.spec.owner);
+            groups.entry(format!("class {class}")).or_default().push(j);
+            groups.entry(format!("team {team}")).or_default().push(j);
+        }
+        let largest: Vec<(String, Vec<&JobSeen>)> = groups
+            .iter()
+            .filter(|(name, _)| name.starts_with("class"))
+            .map(|(name, jobs)| {
+                let mut jobs = jobs.clone();
+                jobs.sort_by_key(|j| std::cmp::Reverse(j.spec.shards));
+                jobs.truncate(jobs.len().div_ceil(10));
+                (format!("the largest of {name}"), jobs)
+            })
+            .collect();
+        for (name, jobs) in &largest {
+            let late = |j: &&&JobSeen| j.began.is_none_or(|at| at > j.submitted + BEGIN_WITHIN);
+            if jobs.iter().filter(late).count() * 2 > jobs.len() {
+                return Err(format!("{name} have not begun in time"));
+            }
+        }
+        for (name, jobs) in groups.iter().chain(largest.iter().map(|(n, j)| (n, j))) {
+            let serves = |j: &&&JobSeen| match j.spec.shape.as_str() {
+                "daemon" => j.began.is_some(),
+                _ => j.done || j.completed.len() as u64 == j.spec.shards,
+            };
+            let served = jobs.iter().filter(serves).count();
+            if served * 2 < jobs.len() {
+                return Err(format!(
+                    "only {served} of {} of {name} are served",
+                    jobs.len()
+                ));
+            }
+        }
+        match jobs.is_empty() {
+            true => Err("no job came early enough to be judged".into()),
+            false => Ok(()),
+        }
+    }
+
     /// Checks what a user is told about a job.
     fn told(&mut self, job: &str, status: &str) -> Result<(), String> {
         let now = self.now;
@@ -946,6 +1049,7 @@
                 200 | 201 => {
                     if let Some(seen) = self.jobs.get_mut(&job) {
                         seen.accepted = true;
+                        seen.answered = self.now;
                     }
                     self.told(&job, &said())?;
                 }
@@ -955,6 +1059,17 @@
                 400 | 422 => {}
                 _ => self.push(self.now + S, Ev::RetrySubmit(job)),
             },
+            Asker::Poll(job) => {
+                if status == 404 && self.jobs.get(&job).is_some_and(|j| j.accepted) {
+                    return Err(format!("forgotten: {job} gets 404"));
+                }
+                if status == 200 {
+                    self.told(&job, &said())?;
+                    if let Some(seen) = self.jobs.get_mut(&job) {
+                        seen.answered = self.now;
+                    }
+                }
+            }
             Asker::Cancel(job) => match status {
                 200 => self.told(&job, &said())?,
                 404 if self.jobs.get(&job).is_some_and(|j| j.accepted) => {
@@ -1099,6 +1214,7 @@
                 return Err(format!("{shard} of an unknown job"));
             };
             seen.starts += 1;
+            seen.began.get_or_insert(self.now);
             let spec = &seen.spec;
             if seen
                 .cancelled_at
@@ -1201,6 +1317,10 @@
         for name in names {
             self.tick_machine(&name)?;
         }
+        if now >= self.next_ask {
+            self.next_ask = now + ASK_EVERY;
+            self.ask_about_all()?;
+        }
         // Cancelled tasks must be gone in time.
         for m in self.machines.values().filter(|m| !m.gone) {
             for t in m.live() {
@@ -1477,6 +1597,7 @@
                     return Err(format!("{} requests were malformed", self.state.refused));
                 }
             }
+            "halves" => self.check_halves()?,
             "serving" => {
                 let prefix = format!("{}/", line.word(1)?);
                 let machines = self.machines.values().filter(|m| !m.gone && m.up);
@@ -1652,6 +1773,9 @@
             done: false,
             completed: BTreeSet::new(),
             starts: 0,
+            submitted: self.now,
+            began: None,
+            answered: self.now,
         };
         self.jobs.insert(job.into(), seen);
         Ok(())
