--- a/crates/testkit/src/machines.rs
+++ b/crates/testkit/src/machines.rs
@@ -44,6 +44,8 @@
     pub hangs_until: Micros,
     /// Until then its reports arrive, but answers and commands do not reach it.
     pub deaf_until: Micros,
+    /// Until then nothing reaches it or comes from it, while its tasks go on.
+    pub cut_until: Micros,
     /// Until then copies of its reports arrive late, by this much.
     pub copied: (Micros, Micros),
     pub faulty: bool,
--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -49,6 +49,7 @@
 //! at 5  late txn for=10                     the leader's next transaction is applied late
 //! at 5  late report MACHINE for=10          a copy of its next report arrives late
 //! at 5  lose answer MACHINE                 the answer to its next report is lost
+//! at 5  unplug MACHINE for=30               nothing reaches it or comes from it; its tasks go on
 //! at 5  deaf MACHINE for=30                 its reports arrive, no answer or command reaches it
 //! at 5  copies MACHINE for=10 late=20       copies of its reports reach the leader late
 //! at 5  restart MACHINE                     its worker is back at once, in a new session
@@ -119,7 +120,7 @@
 }
 
 /// What counts as trouble, for how long if the line does not say.
-const TROUBLES: [(&str, Micros); 12] = [
+const TROUBLES: [(&str, Micros); 13] = [
     ("crash", 4_000_000),
     ("upgrade", 4_000_000),
     ("cut", 10_000_000),
@@ -130,6 +131,7 @@
     ("busy", 10_000_000),
     ("late", 10_000_000),
     ("deaf", 30_000_000),
+    ("unplug", 30_000_000),
     ("copies", 10_000_000),
     ("hang", 5_000_000),
 ];
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -496,6 +496,7 @@
             gone: false,
             hangs_until: 0,
             deaf_until: 0,
+            cut_until: 0,
             copied: (0, 0),
             faulty: false,
             recall_at: None,
@@ -1151,7 +1152,7 @@
         if id != flight || m.gone || tenure != m.tenure {
             return Ok(());
         }
-        if self.lose_answer.remove(name) || now < m.deaf_until {
+        if self.lose_answer.remove(name) || now < m.deaf_until.max(m.cut_until) {
             return Ok(());
         }
         m.in_flight = None;
@@ -1271,7 +1272,7 @@
         let Some(m) = self.machines.get_mut(&name) else {
             return Ok(());
         };
-        if m.gone || !m.up || now < m.deaf_until {
+        if m.gone || !m.up || now < m.deaf_until.max(m.cut_until) {
             return Ok(());
         }
         if now < m.hangs_until {
@@ -1391,7 +1392,7 @@
         m.next_report = now + self.settings.report;
         m.told_warrant = m.warrant;
         let body = to_cbor(&m.report(now));
-        let (node, copied) = (m.node, m.copied);
+        let (node, copied, cut_until) = (m.node, m.copied, m.cut_until);
         let asker = Asker::Worker {
             machine: name.into(),
             flight,
@@ -1411,6 +1412,9 @@
         if now < copied.0 {
             self.push(now + copied.1, Ev::Copy(body.clone()));
         }
+        if now < cut_until {
+            return Ok(());
+        }
         if let Some(at) = self.arrival(node, "workers", MS) {
             let ev = ev(body);
             self.push(at, ev);
@@ -1675,6 +1679,10 @@
                 let until = now + line.time("for", 5.0)?;
                 self.machine_mut(line.word(1)?)?.hangs_until = until;
             }
+            "unplug" => {
+                let until = now + line.time("for", 30.0)?;
+                self.machine_mut(line.word(1)?)?.cut_until = until;
+            }
             "deaf" => {
                 let until = now + line.time("for", 30.0)?;
                 self.machine_mut(line.word(1)?)?.deaf_until = until;
