--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -323,6 +323,11 @@
         self.shunned.get(machine).is_some_and(|until| *until > now)
     }
 
+    /// On how many machines a replica ended by itself lately.
+    pub fn shunned_machines(&self) -> usize {
+        self.shunned.len()
+    }
+
     fn pauses(&self, task: u64, now: Micros) -> bool {
         self.pauses
             .get(&task)
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -434,7 +434,9 @@
                 if a.stop.is_none() {
                     info!("{shard}: {cause} on {name} after {} s", ran / SECOND);
                     job.replica_ended(a.task, name, ran, now);
-                    if cause == "error" {
+                    // A service with a mistake fails everywhere: that says nothing of the machines, none
+                    // of which sees another of its tasks succeed.
+                    if cause == "error" && job.shunned_machines() < 2 {
                         m.failed(job);
                     }
                 }
