--- a/crates/core/src/standby.rs
+++ b/crates/core/src/standby.rs
@@ -4,9 +4,9 @@
 //! there are services, the decider plans for some jobs' worth of replicas in each zone besides those
 //! that wait, and placement keeps that room from batch tasks. Before the first one comes nothing is
 //! known of it but that an aim may have a class start sooner than a machine boots: while no job of
-//! such a class was seen, one ordinary machine in each zone is kept free.
+//! such a class was seen, ordinary machines are kept free in each zone.
 
-use crate::jobs::{Job, Jobs, EPS};
+use crate::jobs::{fits_type, Job, Jobs, EPS};
 use crate::leadership::Lead;
 use crate::node::Ctx;
 use crate::placement::{permits, slots, Open};
@@ -14,6 +14,8 @@
 use grebewood_wire::http::{Precedence, Submission};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Machines that are kept free in each zone for a class of which nothing is known yet.
+const UNKNOWN: u64 = 2;
 /// Room is kept for so long after the last service ended.
 const KEPT_AFTER: Micros = 120 * SECOND;
 
@@ -67,12 +69,20 @@
             }
         }
         self.wanted = match &self.largest {
+            _ if cx.tuning.standby_jobs <= 0.0 => None,
             Some((spec, _)) => {
-                let n = (share(spec) as f64 * cx.tuning.standby_jobs).ceil() as u64;
-                (n > 0).then(|| (spec.clone(), n))
+                let jobs = (share(spec) as f64 * cx.tuning.standby_jobs).ceil() as u64;
+                // The first ones may be small, and more come before a machine is up.
+                let machine = cx
+                    .catalogue
+                    .iter()
+                    .flatten()
+                    .filter(|t| fits_type(spec, t))
+                    .map(|t| slots((t.vcpus, t.accelerators, t.memory_gb), spec))
+                    .min();
+                Some((spec.clone(), jobs.max(machine.unwrap_or(0))))
             }
-            None if cx.tuning.standby_jobs > 0.0 => self.unknown(cx).map(|spec| (spec, 1)),
-            None => None,
+            None => self.unknown(cx).map(|spec| (spec, UNKNOWN)),
         };
     }
 
