Keep room for three jobs of services free in each zone

Ruled out: images (fetched in 1 to 2 s there), the write path (placed within 100 ms where room was).

--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -169,7 +169,7 @@
     /// such an aim that is longer than a boot.
     backlog_share: f64 = 0.5, 0.05, 10.0;
     /// Room kept free in each zone as long as there are services, in jobs of the largest one seen.
-    standby_jobs: f64 = 2.0, 0.0, 100.0;
+    standby_jobs: f64 = 3.0, 0.0, 100.0;
     /// What the risk of losing a spot machine adds to its price, as a factor.
     spot_risk: f64 = 1.25, 1.0, 10.0;
     /// How late a boot may be, as a multiple of the average, before it counts as overdue.
