Keep no more than a tenth of the machines free for services

Cause: in a fleet of six machines the room for three jobs took one of them, and an idle class of which nothing else kept half from being served fell to 8 of 21 jobs (scenario halves_in_overload).

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -245,7 +245,7 @@
         if now >= self.fleet.decide_at {
             self.fleet.decide_at = now + cx.tuning.decider_interval_us;
             self.check_boots(cx);
-            self.standby.update(cx, &self.jobs);
+            self.standby.update(cx, &self.jobs, self.machines.len());
             self.decide(cx);
             self.give_back(cx);
             self.consolidate(cx);
--- a/crates/core/src/standby.rs
+++ b/crates/core/src/standby.rs
@@ -14,6 +14,8 @@
 use grebewood_wire::http::{Precedence, Submission};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// At most this part of the machines is kept free.
+const KEPT_PART: u64 = 10;
 /// Machines that are kept free in each zone for a class of which nothing is known yet.
 const UNKNOWN: u64 = 2;
 /// Room is kept for so long after the last service ended.
@@ -55,8 +57,8 @@
         }
     }
 
-    /// Looks anew for what room is to be kept.
-    pub fn update(&mut self, cx: &Ctx, jobs: &Jobs) {
+    /// Looks anew for what room is to be kept, by a fleet of so many machines.
+    pub fn update(&mut self, cx: &Ctx, jobs: &Jobs, machines: usize) {
         let now = cx.now.steady;
         let any = jobs
             .iter()
@@ -68,6 +70,14 @@
                 self.largest = None;
             }
         }
+        let part = machines as u64 / KEPT_PART;
+        let zones: BTreeSet<&String> = cx
+            .catalogue
+            .iter()
+            .flatten()
+            .flat_map(|t| &t.yards)
+            .collect();
+        let zones = zones.len() as u64;
         self.wanted = match &self.largest {
             _ if cx.tuning.standby_jobs <= 0.0 => None,
             Some((spec, _)) => {
@@ -80,10 +90,18 @@
                     .filter(|t| fits_type(spec, t))
                     .map(|t| slots((t.vcpus, t.accelerators, t.memory_gb), spec))
                     .min();
-                Some((spec.clone(), jobs.max(machine.unwrap_or(0))))
+                let machine = machine.unwrap_or(0);
+                // In a small fleet it must not take the room of all others: a tenth at most, beyond
+                // one job's worth.
+                let most = part * machine / zones.max(1);
+                let n = jobs.max(machine).min(most.max(share(spec)));
+                Some((spec.clone(), n))
             }
-            None => self.unknown(cx).map(|spec| (spec, UNKNOWN)),
-        };
+            None => self
+                .unknown(cx)
+                .map(|spec| (spec, UNKNOWN.min(part / zones.max(1)))),
+        }
+        .filter(|(_, n)| *n > 0);
     }
 
     /// Stands for a job of a class that is to start sooner than a machine boots, and of which none was
