--- a/crates/core/src/fleet/decider.rs
+++ b/crates/core/src/fleet/decider.rs
@@ -581,13 +581,15 @@
             let Some(build) = cx.machine_type(&m.machine_type) else {
                 continue;
             };
-            // An empty machine's power, as it is part of the fleet's.
+            // An empty machine's power, as it is part of the fleet's. What it can do nothing for may lack
+            // power all the same, and one that is needed says nothing of the next: an ordinary machine
+            // kept free for services once kept all idle spot machines for good.
             let its = power(&work, total, None, |i| {
                 slots_of(build, &m.zone, m.spot, &work[i])
             });
-            let covered = |((w, h), p): ((&Work, &f64), &f64)| h - p + EPS >= w.n;
+            let covered = |((w, h), p): ((&Work, &f64), &f64)| *p <= EPS || h - p + EPS >= w.n;
             if !work.iter().zip(&have).zip(&its).all(covered) {
-                break;
+                continue;
             }
             for (h, p) in have.iter_mut().zip(&its) {
                 *h -= p;
