--- a/crates/core/src/standby.rs
+++ b/crates/core/src/standby.rs
@@ -149,20 +149,13 @@
 }
 
 impl Lead {
-    /// Marks the machines whose free room is kept for services: in each zone the ones with the most of
-    /// their images, then those with replicas, then the fullest, until it is as much as wanted.
+    /// Marks the machines whose free room is kept for services: in each zone the ones with replicas
+    /// first, then the fullest, until it is as much as wanted.
     pub(crate) fn keep_standby(&self, cx: &Ctx, open: &mut [Open]) {
         let Some((spec, wanted)) = self.standby.wanted() else {
             return;
         };
-        // Images take seconds to fetch: room where the services' own ones are is worth most.
-        let images: BTreeSet<&str> = self
-            .jobs
-            .iter()
-            .filter(|(_, j)| j.is_daemon())
-            .map(|(_, j)| j.spec.bundle.as_str())
-            .collect();
-        let mut order: Vec<(usize, bool, i64, usize)> = open
+        let mut order: Vec<(bool, i64, usize)> = open
             .iter()
             .enumerate()
             .filter(|(_, o)| {
@@ -173,17 +166,12 @@
                     let mut jobs = m.assignments.iter().map(|a| a.job);
                     jobs.any(|ix| self.jobs.get(ix).is_some_and(Job::is_daemon))
                 });
-                let has = |image: &&&str| {
-                    let m = self.machines.get(&o.name);
-                    m.is_some_and(|m| m.has_image(image))
-                };
-                let missing = images.len() - images.iter().filter(has).count();
-                (missing, !serves, (o.free.0 / EPS) as i64, at)
+                (!serves, (o.free.0 / EPS) as i64, at)
             })
             .collect();
         order.sort();
         let mut kept: BTreeMap<String, u64> = BTreeMap::new();
-        for (_, _, _, at) in order {
+        for (_, _, at) in order {
             let o = &mut open[at];
             let sum = kept.entry(o.zone.clone()).or_insert(0);
             if *sum < wanted {
