--- a/crates/core/src/standby.rs
+++ b/crates/core/src/standby.rs
@@ -16,8 +16,8 @@
 
 /// At most this part of the machines is kept free.
 const KEPT_PART: u64 = 10;
-/// Machines that are kept free in each zone for a class of which nothing is known yet.
-const UNKNOWN: u64 = 2;
+/// Machines' worth of room that is kept free in each zone at least.
+const LEAST: u64 = 2;
 /// Room is kept for so long after the last service ended.
 const KEPT_AFTER: Micros = 120 * SECOND;
 
@@ -94,12 +94,12 @@
                 // In a small fleet it must not take the room of all others: a tenth at most, beyond
                 // one job's worth.
                 let most = part * machine / zones.max(1);
-                let n = jobs.max(machine).min(most.max(share(spec)));
+                let n = jobs.max(machine * LEAST).min(most.max(share(spec)));
                 Some((spec.clone(), n))
             }
             None => self
                 .unknown(cx)
-                .map(|spec| (spec, UNKNOWN.min(part / zones.max(1)))),
+                .map(|spec| (spec, LEAST.min(part / zones.max(1)))),
         }
         .filter(|(_, n)| *n > 0);
     }
