Keep room for services from a leader's first round on

Cause: what room is to be kept was known only from the first round of the decider on, a second after the grant. Ruled out: images, the write path, a machine lost. No scenario shows it: the testkit's workers take longer than a second to show a new leader that they hear it.

--- a/crates/core/src/leadership/loading.rs
+++ b/crates/core/src/leadership/loading.rs
@@ -202,6 +202,9 @@
                 j.began_at = Some(j.age(now));
             }
         }
+        // Before anything is placed: in the first second of each leader batch tasks once took the room
+        // that was kept for services.
+        self.standby.update(cx, &self.jobs, self.machines.len());
         info!(
             "loaded {} jobs, {} machines with tasks",
             self.jobs.len(),
