Keep single slots for services, not machines, and count them as no power for others

Room for a service that had ended was kept as a whole machine, of two; the decider took that room for power, so nothing was rented and the tasks waited for good.

--- a/crates/core/src/fleet/decider.rs
+++ b/crates/core/src/fleet/decider.rs
@@ -317,14 +317,24 @@
             let Some(build) = cx.machine_type(&s.offer.0) else {
                 continue;
             };
+            // What is kept for services is no room for batch work: counted as such, it once kept all
+            // other work of a small fleet waiting for good, since nothing was rented for it.
+            let kept = match self.standby.wanted() {
+                Some((spec, n)) if permits(cx, spec, &s.offer.0, &s.offer.1, s.offer.2) => {
+                    let part = (spec.vcpus / build.vcpus.max(EPS))
+                        .max(spec.memory_gb / build.memory_gb.max(EPS));
+                    part * n as f64
+                }
+                _ => 0.0,
+            };
             // Room that is free now counts whole, room freed within `d` by the part of `d` left.
             add(power(work, total, None, |i| {
                 // What needs its slots now does not wait for others to end.
-                let within = match work[i].is_batch() {
-                    true => work[i].d,
-                    false => 0.0,
+                let free = match work[i].is_batch() {
+                    true => (s.free_within(work[i].d) - kept).max(0.0),
+                    false => s.free_within(0.0),
                 };
-                slots_of(build, &s.offer.1, s.offer.2, &work[i]) * s.free_within(within)
+                slots_of(build, &s.offer.1, s.offer.2, &work[i]) * free
             }));
         }
         for b in self.fleet.boots.values() {
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -107,8 +107,22 @@
     pub free: Room,
     /// Room is being made on it for work of higher priority.
     kept: bool,
-    /// Its room is kept for services.
-    pub standby: bool,
+    /// What of its room is kept for services.
+    pub standby: Room,
+}
+
+impl Open {
+    /// The room for a task of a service, or of other work.
+    fn room(&self, service: bool) -> Room {
+        match service {
+            true => self.free,
+            false => (
+                self.free.0 - self.standby.0,
+                self.free.1 - self.standby.1,
+                self.free.2 - self.standby.2,
+            ),
+        }
+    }
 }
 
 /// Use of a team: CPUs and accelerators.
@@ -372,7 +386,7 @@
                 spot: m.spot,
                 free: m.free(),
                 kept: m.kept_until > now,
-                standby: false,
+                standby: (0.0, 0.0, 0.0),
             })
             .collect()
     }
@@ -432,6 +446,8 @@
                 && used.1 + spec.accelerators * n <= team.gpus_max + EPS
         };
         let shape = job.shape;
+        // What has waited too long for its beginning may take the room that is kept, too.
+        let service = shape == Shape::Daemon || job.must_begin(now);
         let expected = self.stats.expected_stay(&spec);
         // Places in `open`: for a replica first those where none ended by itself lately; those with the
         // image first, then those that wait for work at our door, then spot, then the fullest.
@@ -439,10 +455,9 @@
             .iter()
             .enumerate()
             .filter(|(_, o)| {
-                slots(o.free, &spec) > 0
+                slots(o.room(service), &spec) > 0
                     && permits(cx, &spec, &o.machine_type, &o.zone, o.spot)
                     && (!o.kept || spec.precedence > Precedence::Idle)
-                    && (!o.standby || shape == Shape::Daemon)
             })
             .map(|(at, o)| {
                 let image = self
@@ -471,7 +486,7 @@
             if fixed_zone.as_ref().is_some_and(|z| *z != zone) {
                 continue;
             }
-            while slots(open[at].free, &spec) > 0 {
+            while slots(open[at].room(service), &spec) > 0 {
                 let used = self.usage.get(&spec.owner).copied().unwrap_or((0.0, 0.0));
                 if left == 0 || !in_quota(used, 1.0) {
                     break 'machines;
@@ -809,7 +824,8 @@
     let mut zones: BTreeMap<&str, u64> = BTreeMap::new();
     for (_, at) in candidates {
         let o = &open[*at];
-        *zones.entry(&o.zone).or_insert(0) += slots(o.free, spec);
+        let service = Shape::of(spec) == Some(Shape::Daemon);
+        *zones.entry(&o.zone).or_insert(0) += slots(o.room(service), spec);
     }
     zones
 }
--- a/crates/core/src/standby.rs
+++ b/crates/core/src/standby.rs
@@ -91,10 +91,13 @@
                     .map(|t| slots((t.vcpus, t.accelerators, t.memory_gb), spec))
                     .min();
                 let machine = machine.unwrap_or(0);
-                // In a small fleet it must not take the room of all others: a tenth at most, beyond
-                // one job's worth.
+                // In a small fleet it must not take the room of all others: a tenth at most, or one
+                // job's worth if that is no more than a quarter.
                 let most = part * machine / zones.max(1);
-                let n = jobs.max(machine * LEAST).min(most.max(share(spec)));
+                let quarter = machines as u64 * machine / 4 / zones.max(1);
+                let n = jobs
+                    .max(machine * LEAST)
+                    .min(most.max(share(spec).min(quarter)));
                 Some((spec.clone(), n))
             }
             None => self
@@ -149,8 +152,8 @@
 }
 
 impl Lead {
-    /// Marks the machines whose free room is kept for services: in each zone the ones with replicas
-    /// first, then the fullest, until it is as much as wanted.
+    /// Marks the room that is kept for services: in each zone that of machines with replicas first,
+    /// then of the fullest, until it is as much as wanted.
     pub(crate) fn keep_standby(&self, cx: &Ctx, open: &mut [Open]) {
         let Some((spec, wanted)) = self.standby.wanted() else {
             return;
@@ -174,10 +177,16 @@
         for (_, _, at) in order {
             let o = &mut open[at];
             let sum = kept.entry(o.zone.clone()).or_insert(0);
-            if *sum < wanted {
-                *sum += slots(o.free, spec);
-                o.standby = true;
-            }
+            // No more than is wanted: a whole machine was kept at first, and in a fleet of two none was
+            // left for others.
+            let n = slots(o.free, spec).min(wanted - *sum);
+            *sum += n;
+            let room = |need: f64| need * n as f64;
+            o.standby = (
+                room(spec.vcpus),
+                room(spec.accelerators),
+                room(spec.memory_gb),
+            );
         }
     }
 }
