Let a leader go on without state only while it knows all confirmed cancellations

Cause: a leader that the state service refuses alone went on in the outage that followed, if its peers' last contact was less than 1.5 s newer than its own.

Now each node remembers which cancellations it told users, and lists them in answer to the leader's question, with the time for which it has remembered all. The leader applies them, and counts a peer as covered up to the moment of the question only if the peer's memory goes back to what was known of it; a peer that restarted, is silent or of the version before leaves a gap, and the bound on time runs from there. What the node itself knows comes from its view, read every second now, not from the last answer of any kind. A new leader that has yet to read state stops cancelled tasks by the node's own knowledge, and renews no lease before that is certain. A job ends as cancelled only with the stamp of its record. The margin of 1.5 s is gone: a leader steps down once its grant has run out by a peer's contact, or a peer has read a later grant.

--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -18,7 +18,7 @@
 use grebewood_wire as wire;
 use grebewood_wire::http::{
     from_value, to_value, Change, Changes, Entry, EntryList, Epoch, Event, Lease, LeaseRequest,
-    Txn, TxnFailed, When,
+    Perches, Txn, TxnFailed, When,
 };
 use grebewood_wire::peer::{PeerAnswer, PeerRequest};
 use grebewood_wire::records::{
@@ -30,9 +30,12 @@
 use log::{error, info, warn};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+mod contact;
 mod flush;
 mod loading;
 
+use contact::PeerView;
+
 /// A call of the election.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -60,19 +63,10 @@
     incarnation: u64,
     /// What each peer last said, by its place in the settings.
     peers: BTreeMap<usize, PeerView>,
-}
-
-/// What a peer last said of its contact with the state service.
-#[derive(Clone, Copy, Debug, Default)]
-struct PeerView {
-    asked: Micros,
-    /// It said at this time (ours) that it had no contact.
-    without_contact: Option<Micros>,
-    /// When it last had contact, by our clock.
-    contact: Option<Micros>,
-    /// The same, however long ago.
-    last_contact: Option<Micros>,
-    token: u64,
+    /// Number of the last question to the peers.
+    question: u64,
+    /// The highest fencing token of a grant that was read from state, or is our own.
+    grant: u64,
 }
 
 /// By how much the writes of ends go ahead of their turn.
@@ -92,9 +86,17 @@
             abstain_until: 0,
             incarnation,
             peers: BTreeMap::new(),
+            question: 0,
+            grant: 0,
         }
     }
 
+    /// The highest fencing token of a grant that this node knows of from state, never from a
+    /// message.
+    pub fn grant(&self) -> u64 {
+        self.grant
+    }
+
     pub fn next_wake(&self) -> Micros {
         self.next_probe
     }
@@ -147,6 +149,8 @@
     /// nothing is launched, stopped, written, rented or answered to a worker.
     doubtful: bool,
     loading: Option<Loading>,
+    /// When the grant was won; state was read after that.
+    began: Micros,
     pub loaded_at: Micros,
     pub jobs: Jobs,
     /// Jobs that ended lately, so that a late list cannot bring them back.
@@ -201,7 +205,6 @@
                 self.cx.read_key(LEADER, Pending::Election(Step::Probe));
             }
         } else {
-            self.election.next_probe = now + SECOND;
             self.ask_peers();
         }
     }
@@ -220,6 +223,7 @@
             (Step::Probe, 200) => match wire::from_cbor::<Entry<LeaderRecord>>(&body) {
                 Ok(e) => {
                     self.cx.token = self.cx.token.max(e.stamp);
+                    self.election.grant = self.election.grant.max(e.stamp);
                     if e.value.member == self.cx.settings.member {
                         // A grant of our own that we do not hold: an earlier process of ours had
                         // it, or a claim was applied late. Nobody acts under it, so it goes.
@@ -313,6 +317,7 @@
     fn become_leader(&mut self, token: u64, lease: u64) {
         info!("leader with token {token}");
         self.cx.token = self.cx.token.max(token);
+        self.election.grant = self.election.grant.max(token);
         let record = LeaderRecord {
             member: self.cx.settings.member.clone(),
             incarnation: self.election.incarnation,
@@ -326,8 +331,13 @@
 
     /// Stops acting as the leader. `resign`: gives the lease back and abstains for a while.
     pub(crate) fn step_down(&mut self, why: &str, resign: bool) {
-        let Some(lead) = self.lead.take() else { return };
+        let Some(mut lead) = self.lead.take() else {
+            return;
+        };
         warn!("no longer leader with token {}: {why}", lead.token);
+        if !resign {
+            lead.release_unproven(&mut self.cx);
+        }
         for request in lead.waiting_checkins() {
             self.cx.refuse(request, 503, "not the leader any more");
         }
@@ -358,105 +368,6 @@
         self.election.next_probe = now;
     }
 
-    /// Asks the peers whether they have contact with the state service. While the leader has
-    /// contact itself this only keeps its view of the peers fresh.
-    fn ask_peers(&mut self) {
-        let now = self.cx.now.steady;
-        let message = wire::to_peer(&PeerRequest::Contact {
-            from: self.cx.settings.member.clone(),
-        });
-        for peer in 0..self.cx.settings.siblings.len() {
-            self.election.peers.entry(peer).or_default().asked = now;
-            self.cx.call(
-                Target::Peer(peer),
-                "POST",
-                "/peer".into(),
-                message.clone(),
-                900 * MILLI,
-                Pending::Contact(peer),
-            );
-        }
-    }
-
-    pub(crate) fn on_contact(&mut self, peer: usize, outcome: Outcome) {
-        let now = self.cx.now.steady;
-        let Outcome::Answer { status: 200, body } = outcome else {
-            return;
-        };
-        let answer: PeerAnswer = match wire::from_peer(&body) {
-            Ok(a) => a,
-            Err(e) => return warn!("peer: {e}"),
-        };
-        let view = self.election.peers.entry(peer).or_default();
-        view.token = answer.token;
-        view.last_contact = answer
-            .state_contact_age_us
-            .map(|age| now.saturating_sub(age));
-        match answer.state_contact_age_us {
-            Some(age) if age < 2 * SECOND => {
-                view.contact = Some(now.saturating_sub(age));
-                view.without_contact = None;
-            }
-            // It had none in the last two seconds before it answered.
-            _ => view.without_contact = Some(view.asked.saturating_sub(2 * SECOND)),
-        }
-        // All peers, asked since the standstill, have been without contact for as long as we have,
-        // and know of no later grant: an outage, in which leases do not run out, nobody can be
-        // elected and nobody can have accepted a cancellation.
-        let (woke, lost) = (self.cx.woke(), self.cx.last_contact.unwrap_or(0));
-        if let Some(lead) = self.lead.as_mut().filter(|l| l.doubtful) {
-            let peers = &self.election.peers;
-            let outage = (0..self.cx.settings.siblings.len()).all(|p| {
-                peers.get(&p).is_some_and(|v| {
-                    v.asked >= woke
-                        && v.without_contact.is_some()
-                        && v.last_contact.is_some_and(|c| c <= lost + 1_500 * MILLI)
-                        && v.token <= lead.token
-                })
-            });
-            if outage {
-                lead.grant_holds();
-            }
-        }
-    }
-
-    /// A leader without contact with the state service finds out which of three things happened.
-    /// A peer has contact: it alone is refused, and steps down at once. No peer has contact: an
-    /// outage, during which nobody can accept a cancellation, so it keeps answering check-ins.
-    /// Peers that cannot be asked may have contact and accept cancellations: it stops so early
-    /// that the workers' leases run out within `cancel_s` of the last moment without them.
-    fn check_contact(&mut self) {
-        let now = self.cx.now.steady;
-        let Some(lost) = self.cx.last_contact else {
-            return;
-        };
-        if now.saturating_sub(lost) < 2 * SECOND {
-            return;
-        }
-        let peers = &self.election.peers;
-        if peers
-            .values()
-            .any(|p| p.contact.is_some_and(|c| c > lost + 1_500 * MILLI))
-        {
-            return self.step_down("the state service serves a peer, not this node", false);
-        }
-        let certain = (0..self.cx.settings.siblings.len())
-            .map(|p| {
-                peers
-                    .get(&p)
-                    .and_then(|v| v.without_contact)
-                    .map_or(lost, |t| t.max(lost))
-            })
-            .min()
-            .unwrap_or(now);
-        let s = &self.cx.settings;
-        let bound = s.cancel.saturating_sub(s.lease) * 8 / 10;
-        let bound = bound.saturating_sub(2 * SECOND).max(SECOND);
-        if now.saturating_sub(certain) > bound {
-            self.step_down("no contact with the state service nor with peers", false);
-        }
-    }
-
     pub(crate) fn run_lead(&mut self, watch: &mut dyn Stopwatch) {
         if self.lead.is_none() {
             return;
@@ -495,6 +406,7 @@
             extend_at: now + cx.tuning.leader_lease_us / 4,
             doubtful: false,
             loading: None,
+            began: now,
             loaded_at: 0,
             jobs: Jobs::default(),
             ended: VecDeque::new(),
@@ -595,6 +507,7 @@
     /// stopped. `record` says since when: the time to `cancel_s` runs on whoever leads. With every
     /// new leader it once began anew, and a machine that could not be reached was kept too long.
     pub(crate) fn on_cancelled(&mut self, cx: &mut Ctx, id: &str, record: Option<&CancelRecord>) {
+        // What a peer said of a job that another leader accepted meanwhile waits for its record.
         let Some(ix) = self.jobs.find(id) else {
             return;
         };
@@ -612,6 +525,38 @@
         self.end_if_over(cx, ix);
     }
 
+    /// Applies what the node knows of the job's cancellation, from wherever.
+    pub(crate) fn apply_cancellation(&mut self, cx: &mut Ctx, id: &str) {
+        let known = cx.cancellations.get(id).map(|k| CancelRecord {
+            cancelled_us: k.cancelled_us,
+        });
+        if let Some(record) = known.filter(|_| self.loaded()) {
+            self.on_cancelled(cx, id, Some(&record));
+        }
+    }
+
+    /// State has no cancellation of this job after all: what was said of it was wrong, and the job
+    /// runs. Only its record may end it.
+    fn retract_cancellation(&mut self, cx: &mut Ctx, id: &str) {
+        cx.cancellations.forget(id);
+        let job = self.jobs.find(id).and_then(|ix| self.jobs.get_mut(ix));
+        if let Some(job) = job.filter(|j| j.cancelled.is_some()) {
+            error!("{id}: said to be cancelled, but not on record");
+            job.cancelled = None;
+            job.ending = None;
+            self.placement.want(cx.now.steady);
+        }
+    }
+
+    /// The key of the job's cancellation that is on record.
+    fn cancellation_key(&self, id: &str) -> String {
+        let old = format!("{OLD_CANCEL}{id}");
+        match self.ledger.stamps.contains_key(&old) {
+            true => old,
+            false => cancel_key(id),
+        }
+    }
+
     /// Starts writing the end of a job if it has come to it.
     pub(crate) fn end_if_over(&mut self, cx: &Ctx, ix: JobIx) {
         let Some(job) = self.jobs.get_mut(ix) else {
@@ -625,6 +570,13 @@
         };
         if ending.is_some() && ending != job.ending {
             job.ending = ending;
+            let id = job.id.clone();
+            let key = self.cancellation_key(&id);
+            if ending == Some(Ending::Aborted) && !self.ledger.stamps.contains_key(&key) {
+                // It is known from a peer or a user's request only. A job ends as cancelled only if
+                // that is on record: its stamp is read first.
+                self.ledger.stale.push(key);
+            }
             // An end frees what the user waits for, and room in every later read of state.
             let due = cx.now.steady.saturating_sub(END_AHEAD);
             self.ledger.touch_by(Rec::Over(ix), due);
@@ -732,7 +684,10 @@
     fn on_event(&mut self, cx: &mut Ctx, event: Event) {
         if let (Some(key), Some(value)) = (&event.put, &event.value) {
             match JobKey::parse(key) {
-                Some(JobKey::Live(_)) => self.add_job(cx, key, value, event.stamp),
+                Some(JobKey::Live(id)) => {
+                    self.add_job(cx, key, value, event.stamp);
+                    self.apply_cancellation(cx, id);
+                }
                 Some(JobKey::Cancelled(id)) if self.jobs.find(id).is_some() => {
                     self.ledger.stamps.insert(key.clone(), event.stamp);
                     let record = from_value(value).ok();
--- /dev/null
+++ b/crates/core/src/leadership/contact.rs
@@ -0,0 +1,220 @@
+//! What a leader does without the state service: whether it may go on, and until when.
+
+use super::*;
+
+/// Without an answer from the state service for this long, a leader doubts its contact.
+const SILENT: Micros = 2 * SECOND;
+/// How often peers are asked while there is contact, and without.
+const ASK: Micros = SECOND;
+const ASK_SILENT: Micros = 400 * MILLI;
+
+/// What a peer last said of its contact with the state service.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct PeerView {
+    /// When the question was sent to which this was the answer.
+    asked: Micros,
+    /// When it last had contact, by our clock, at the latest.
+    contact: Option<Micros>,
+    /// It had none for some time before it answered.
+    without_contact: bool,
+    /// From when on it remembers which cancellations it confirmed and which grants it read.
+    remembers_from: Option<Micros>,
+    /// The highest grant that it read from state, or has itself.
+    grant: u64,
+}
+
+impl Node {
+    /// Asks the peers whether they have contact with the state service, and what they confirmed.
+    /// While the leader has contact itself this only keeps its view of the peers fresh.
+    pub(super) fn ask_peers(&mut self) {
+        let now = self.cx.now.steady;
+        let pause = if self.cx.in_contact(SILENT / 2) {
+            ASK
+        } else {
+            ASK_SILENT
+        };
+        self.election.next_probe = now + pause;
+        self.election.question += 1;
+        let question = self.election.question;
+        for peer in 0..self.cx.settings.siblings.len() {
+            let known = self.cx.cancellations.known_of(peer);
+            let message = wire::to_peer(&PeerRequest::Contact {
+                from: self.cx.settings.member.clone(),
+                question,
+                // A little more than that: clocks drift.
+                known_us: known.map(|at| now.saturating_sub(at) + SECOND),
+            });
+            self.cx.call(
+                Target::Peer(peer),
+                "POST",
+                "/peer".into(),
+                message,
+                900 * MILLI,
+                Pending::Contact { peer, question },
+            );
+        }
+    }
+
+    /// Takes a peer's answer to the question that was sent at `asked`.
+    pub(crate) fn on_contact(
+        &mut self,
+        peer: usize,
+        question: u64,
+        asked: Micros,
+        outcome: Outcome,
+    ) {
+        let now = self.cx.now.steady;
+        let Outcome::Answer { status: 200, body } = outcome else {
+            return;
+        };
+        let answer: PeerAnswer = match wire::from_peer(&body) {
+            Ok(a) => a,
+            Err(e) => return warn!("peer: {e}"),
+        };
+        let sibling = self.cx.settings.siblings.get(peer);
+        if sibling.is_none_or(|s| s.member != answer.member) {
+            return warn!("peer: {} answers in another's place", answer.member);
+        }
+        let age = answer.state_contact_age_us;
+        let mut view = PeerView {
+            asked,
+            contact: age.map(|age| asked.saturating_sub(age)),
+            without_contact: age.is_none_or(|age| age >= SILENT),
+            remembers_from: None,
+            grant: answer.grant,
+        };
+        // Only the answer to this very question says what the peer has confirmed. An earlier
+        // version says nothing of it.
+        if let Some(confirmed) = answer.confirmed.filter(|c| c.question == question) {
+            let wall = self.cx.now.wall;
+            for (id, age) in confirmed.jobs {
+                self.cx
+                    .cancellations
+                    .learn(&id, wall.saturating_sub(age).max(1));
+                if let Some(lead) = &mut self.lead {
+                    lead.apply_cancellation(&mut self.cx, &id);
+                }
+            }
+            if let Some(span) = confirmed.remembers_us {
+                // It began to remember no later than this, by our clock: clocks drift.
+                let from = now.saturating_sub(span - span / 1_000);
+                view.remembers_from = Some(from);
+                self.cx.cancellations.covered(peer, asked, from);
+            }
+        }
+        let known = self.election.peers.entry(peer).or_default();
+        if asked >= known.asked {
+            *known = view;
+        }
+        self.settle_doubt();
+    }
+
+    /// After a standstill without contact: all peers, asked since, have been without contact too,
+    /// and remember from before we lost ours that nobody else got a grant. So this is an outage, in
+    /// which leases do not run out and nobody can be elected.
+    fn settle_doubt(&mut self) {
+        let (woke, lost) = (self.cx.woke(), self.cx.last_contact.unwrap_or(0));
+        let Some(lead) = self.lead.as_mut().filter(|l| l.doubtful) else {
+            return;
+        };
+        let peers = &self.election.peers;
+        let outage = (0..self.cx.settings.siblings.len()).all(|p| {
+            peers.get(&p).is_some_and(|v| {
+                v.asked >= woke
+                    && v.without_contact
+                    && v.remembers_from.is_some_and(|at| at <= lost)
+                    && v.grant <= lead.token
+            })
+        });
+        if outage {
+            lead.grant_holds();
+        }
+    }
+
+    /// How long a leader may go on since the moment up to which it knows all confirmed
+    /// cancellations: the leases that it renews last must run out within `cancel_s` of that moment.
+    fn blind_bound(&self) -> Micros {
+        let s = &self.cx.settings;
+        let bound = s.cancel.saturating_sub(s.lease) * 8 / 10;
+        bound.saturating_sub(2 * SECOND).max(SECOND)
+    }
+
+    /// Whether this node, as a leader, may renew workers' leases: it knows of all cancellations
+    /// that any node confirmed until lately. One that has just started, and has read nothing yet,
+    /// does not; it once kept cancelled tasks alive through an outage that met its election.
+    pub(crate) fn may_renew(&self) -> bool {
+        let now = self.cx.now.steady;
+        let peers = self.cx.settings.siblings.len();
+        let certain = self.cx.cancellations.certain(peers, now);
+        certain.is_some_and(|at| now.saturating_sub(at) <= self.blind_bound())
+    }
+
+    /// A leader without contact with the state service finds out which of three things happened.
+    /// A peer had contact for so long that our grant has run out, or knows of a later one: it
+    /// steps down at once. Peers that answer tell which cancellations they confirmed: with that it
+    /// goes on, as it would with state. Peers that cannot be asked, or have forgotten, may have
+    /// confirmed cancellations that it does not know: it stops so early that the workers' leases
+    /// run out within `cancel_s` of the last moment without them.
+    ///
+    /// What a peer had confirmed while only this node was refused was once unknown here for as long
+    /// as an outage lasted that came right after.
+    pub(super) fn check_contact(&mut self) {
+        let now = self.cx.now.steady;
+        let (Some(lost), Some(lead)) = (self.cx.last_contact, &self.lead) else {
+            return;
+        };
+        if now.saturating_sub(lost) >= SILENT {
+            let lapsed = lost + self.cx.tuning.leader_lease_us;
+            let peers = self.election.peers.values();
+            let (mut served, mut deposed) = (false, false);
+            for p in peers {
+                served |= p.contact.is_some_and(|c| c > lapsed);
+                deposed |= p.grant > lead.token;
+            }
+            if deposed {
+                return self.step_down("a peer knows of a later grant", false);
+            }
+            if served {
+                return self.step_down("the state service serves a peer, not this node", false);
+            }
+        }
+        if lead.loaded() && !self.may_renew() {
+            self.step_down("cancellations may be unknown here", false);
+        }
+    }
+}
+
+impl Lead {
+    /// Releases machines on which cancelled tasks are not proven gone, as far as they do not
+    /// answer: the next leader may be long in coming, and nobody else knows of them.
+    pub(super) fn release_unproven(&mut self, cx: &mut Ctx) {
+        let now = cx.now.steady;
+        let silence = 2 * cx.settings.report;
+        let names: Vec<String> = self
+            .machines
+            .values()
+            .filter(|m| now.saturating_sub(m.last_report) > silence)
+            .filter(|m| {
+                let live = m.assignments.iter().filter(|a| a.may_exist());
+                live.map(|a| self.jobs.get(a.job))
+                    .any(|j| j.is_some_and(|j| j.cancelled.is_some()))
+            })
+            .map(|m| m.name.clone())
+            .collect();
+        if names.is_empty() {
+            return;
+        }
+        info!("released, with cancelled tasks: {}", names.join(", "));
+        for perches in names.chunks(100) {
+            let perches = perches.to_vec();
+            cx.call(
+                Target::Cloud,
+                "POST",
+                "/rentals/release".into(),
+                wire::to_cbor(&Perches { perches }),
+                5 * SECOND,
+                Pending::Ignore,
+            );
+        }
+    }
+}
--- a/crates/core/src/leadership/flush.rs
+++ b/crates/core/src/leadership/flush.rs
@@ -56,11 +56,7 @@
                 let job = self.jobs.get(*ix)?;
                 let ending = job.ending?;
                 let (live, past) = (job_key(&job.id), format!("{PAST}{}", job.id));
-                let mut cancel = cancel_key(&job.id);
-                let old_cancel = format!("{OLD_CANCEL}{}", job.id);
-                if self.ledger.stamps.contains_key(&old_cancel) {
-                    cancel = old_cancel;
-                }
+                let cancel = self.cancellation_key(&job.id);
                 let record = PastRecord {
                     status: ending.status().into(),
                     shards: job.tasks(),
@@ -360,6 +356,9 @@
             }
             Outcome::Answer { status: 404, .. } => {
                 self.ledger.stamps.remove(key);
+                if let Some(JobKey::Cancelled(id)) = JobKey::parse(key) {
+                    self.retract_cancellation(cx, id);
+                }
             }
             _ => return self.flush_failed(cx),
         }
--- a/crates/core/src/leadership/loading.rs
+++ b/crates/core/src/leadership/loading.rs
@@ -185,6 +185,12 @@
                 self.on_cancelled(cx, id, record.ok().as_ref());
             }
         }
+        // What the node knows of later ones, or from its peers.
+        let known: Vec<String> = cx.cancellations.jobs().map(|(id, _)| id.into()).collect();
+        for id in known {
+            self.apply_cancellation(cx, &id);
+        }
+        cx.cancellations.read_as_of(self.began);
         // Pages that an earlier leader wrote under larger limits.
         self.split_pages(cx);
         let complete: Vec<JobIx> = self
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! each input, and randomness from a seed. State in the state service is the truth; what a
 //! `Node` holds in memory is a cache of it.
 
+pub mod cancellations;
 pub mod done;
 pub mod fleet;
 pub mod jobs;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -1,5 +1,6 @@
 //! One controller: dispatches inputs to the parts, and keeps what all of them share.
 
+use crate::cancellations::Cancellations;
 use crate::leadership::{Election, Lead};
 use crate::pace::Bucket;
 use crate::users::{PastJobs, UserCall};
@@ -28,7 +29,11 @@
     View(ViewCall),
     /// The machine types, from state (true) or from the cloud.
     Catalogue(bool),
-    Contact(usize),
+    /// A peer's contact with state and the cancellations it confirmed.
+    Contact {
+        peer: usize,
+        question: u64,
+    },
     /// Nothing depends on the reply.
     Ignore,
 }
@@ -71,6 +76,8 @@
     pub catalogue: Option<Vec<MachineType>>,
     /// Highest fencing token known.
     pub token: u64,
+    /// Which confirmed cancellations this node knows of.
+    pub cancellations: Cancellations,
 }
 
 impl Ctx {
@@ -219,6 +226,7 @@
             woke: 0,
             catalogue: None,
             token: 0,
+            cancellations: Cancellations::default(),
         };
         Node {
             election: Election::new(seed),
@@ -239,6 +247,7 @@
         self.cx.now = now;
         if !self.started {
             self.started = true;
+            self.cx.cancellations.begin(now.steady);
             info!("{}: started", self.cx.settings.member);
         } else if gap > self.cx.tuning.leader_lease_us / 2 {
             // Timers fire far more often than that: the process stood still while time went on.
@@ -322,8 +331,18 @@
                 return self.cx.refuse(id, 400, "not a peer message");
             }
         };
+        let mut confirmed = None;
         match request {
-            PeerRequest::Contact { from } => debug!("peer {from}: asks for contact"),
+            PeerRequest::Contact {
+                from,
+                question,
+                known_us,
+            } => {
+                debug!("peer {from}: asks for contact");
+                let now = self.cx.now.steady;
+                let answer = self.cx.cancellations.confirmed(question, known_us, now);
+                confirmed = Some(answer).filter(|_| question > 0);
+            }
             // Only the leader that the state service names may tell about progress.
             PeerRequest::Progress { from, token, jobs } => {
                 if self.election.leader_is(&from, token) {
@@ -340,6 +359,8 @@
             member: self.cx.settings.member.clone(),
             state_contact_age_us: self.cx.contact_age(),
             token: self.cx.token,
+            grant: self.election.grant(),
+            confirmed,
         };
         self.cx.out.push(Effect::Answer {
             id,
@@ -385,9 +406,9 @@
                 }
             }
             Pending::User(user) => self.on_user_reply(user, outcome),
-            Pending::View(what) => self.on_view(what, outcome),
+            Pending::View(what) => self.on_view(what, made, outcome),
             Pending::Catalogue(from_state) => self.on_catalogue(from_state, outcome),
-            Pending::Contact(peer) => self.on_contact(peer, outcome),
+            Pending::Contact { peer, question } => self.on_contact(peer, question, made, outcome),
             Pending::Ignore => {}
         }
     }
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -8,7 +8,7 @@
 use crate::jobs::{check_fields, check_possible, check_size, valid_id, Refused};
 use crate::ledger::Rec;
 use crate::node::{Ctx, Node, Pending};
-use crate::{Micros, Outcome, Settings};
+use crate::{Micros, Now, Outcome, Settings};
 use grebewood_wire as wire;
 use grebewood_wire::http::{
     Accepted, Change, Entry, JobStatus, MachineType, Submission, Txn, When,
@@ -334,8 +334,11 @@
             status: "aborted".into(),
             shards,
         };
-        // The cancellation is durable, and the job can only become aborted now.
+        // The cancellation is durable, and the job can only become aborted now. That a user is told
+        // is remembered: a leader that has lost contact with state asks for it.
         self.past.insert(&call.job, past.clone());
+        let Now { steady, wall } = self.cx.now;
+        self.cx.cancellations.tell(&call.job, steady, wall);
         if let Some(lead) = &mut self.lead {
             lead.on_cancelled(&mut self.cx, &call.job, None);
         }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -4,14 +4,15 @@
 //! job therefore wait, a few milliseconds mostly, for one `GET /changes` that is sent after they
 //! came in: it brings the view up to date as of a moment after their arrival, and answers all of
 //! them at once. So no node gives an answer that is older than another's. A view that has missed
-//! too much is read anew.
+//! too much is read anew. Without requests it is brought up to date every second: so a node knows of
+//! all cancellations as of a moment that is recent, whatever happens next.
 
 use crate::node::{Node, Pending, STATE_TIMEOUT};
 use crate::users::{Stage, UserCall};
-use crate::{Micros, Outcome, Target, MILLI};
+use crate::{Micros, Outcome, Target, MILLI, SECOND};
 use grebewood_wire as wire;
 use grebewood_wire::http::{Changes, Entry, EntryList};
-use grebewood_wire::records::{JobKey, JobRecord, JOB, OLD_CANCEL};
+use grebewood_wire::records::{CancelRecord, JobKey, JobRecord, JOB, OLD_CANCEL};
 use grebewood_wire::Value;
 use log::{debug, error};
 use std::collections::BTreeMap;
@@ -36,6 +37,10 @@
 const PREFIXES: [&str; 2] = [JOB, OLD_CANCEL];
 /// Shortest time between two requests of the view.
 const INTERVAL: Micros = 60 * MILLI;
+/// Without requests, the view is brought up to date so often.
+const REFRESH: Micros = SECOND;
+/// The same after an attempt that failed.
+const REFRESH_AGAIN: Micros = 500 * MILLI;
 /// A user's request waits no longer than this.
 const PATIENCE: Micros = 1_400 * MILLI;
 
@@ -51,6 +56,8 @@
     built: bool,
     busy: bool,
     next_at: Micros,
+    /// When it is brought up to date though nobody asks.
+    refresh_at: Micros,
     /// Requests that the reply under way answers, and those that came in after it was sent.
     asked: Vec<UserCall>,
     waiting: Vec<UserCall>,
@@ -63,9 +70,10 @@
 
     pub fn next_wake(&self) -> Micros {
         let wanted = !self.built || !self.waiting.is_empty();
-        let mut at = match wanted && !self.busy {
-            true => self.next_at,
-            false => Micros::MAX,
+        let mut at = match (wanted, self.busy) {
+            (_, true) => Micros::MAX,
+            (true, false) => self.next_at,
+            (false, false) => self.next_at.max(self.refresh_at),
         };
         // Requests wait in the order in which they came.
         if let Some(call) = self.waiting.first() {
@@ -131,7 +139,8 @@
                 .refuse(call.request, 503, "the state service is not in time");
         }
         let v = &mut self.view;
-        if v.busy || now < v.next_at || (v.built && v.waiting.is_empty()) {
+        let wanted = !v.built || !v.waiting.is_empty() || now >= v.refresh_at;
+        if v.busy || now < v.next_at || !wanted {
             return;
         }
         if !self.cx.reads.take(now, 1.0) {
@@ -143,6 +152,7 @@
         }
         v.busy = true;
         v.next_at = now + INTERVAL;
+        v.refresh_at = now + REFRESH;
         let (path, what) = match (v.unread.first(), v.since) {
             (Some(prefix), _) => {
                 let after = match &v.after {
@@ -169,7 +179,8 @@
         );
     }
 
-    pub(crate) fn on_view(&mut self, what: ViewCall, outcome: Outcome) {
+    /// Takes the reply to a request of the view that was made at `made`.
+    pub(crate) fn on_view(&mut self, what: ViewCall, made: Micros, outcome: Outcome) {
         let now = self.cx.now.steady;
         self.view.busy = false;
         let (status, body) = match outcome {
@@ -192,12 +203,18 @@
                     for event in changes.events {
                         if let (Some(key), Some(value)) = (&event.put, &event.value) {
                             self.view.put(key, value, event.stamp);
+                            self.note_cancellation(key, value);
                         }
                         if let Some(key) = &event.delete {
                             self.view.delete(key);
+                            // Nothing of a job that is over runs any more.
+                            if let Some(JobKey::Live(id)) = JobKey::parse(key) {
+                                self.cx.cancellations.forget(id);
+                            }
                         }
                     }
                     self.view.since = self.view.since.max(Some(changes.epoch));
+                    self.cx.cancellations.read_as_of(made);
                     for call in std::mem::take(&mut self.view.asked) {
                         if now >= call.arrived + PATIENCE {
                             // After a standstill: the answer may be as old as that.
@@ -210,6 +227,7 @@
                 }
                 (503, _) => {
                     self.view.next_at = now + 200 * MILLI;
+                    self.view.refresh_at = now + REFRESH_AGAIN;
                     for call in std::mem::take(&mut self.view.asked) {
                         self.cx
                             .refuse(call.request, 503, "the state service is out of reach");
@@ -222,6 +240,7 @@
                     again.append(&mut self.view.waiting);
                     self.view.waiting = again;
                     self.view.next_at = now + 100 * MILLI;
+                    self.view.refresh_at = now + REFRESH_AGAIN;
                     if status != 0 && status != 429 {
                         // Too old, or not to be understood: it is read anew.
                         self.view.restart();
@@ -239,6 +258,10 @@
         for e in &list.entries {
             v.put(&e.k, &e.value, e.stamp);
         }
+        for e in &list.entries {
+            self.note_cancellation(&e.k, &e.value);
+        }
+        let v = &mut self.view;
         if list.more && last.is_some() {
             v.after = last;
             return;
@@ -248,6 +271,20 @@
         v.built = v.unread.is_empty();
     }
 
+    /// Notes the cancellation that a record may hold, and tells the leader's part of it, whose own
+    /// watch may be slower.
+    fn note_cancellation(&mut self, key: &str, value: &Value) {
+        let Some(JobKey::Cancelled(id)) = JobKey::parse(key) else {
+            return;
+        };
+        let at = wire::http::from_value::<CancelRecord>(value).map(|r| r.cancelled_us);
+        let at = at.unwrap_or(self.cx.now.wall);
+        self.cx.cancellations.learn(id, at);
+        if let Some(lead) = &mut self.lead {
+            lead.apply_cancellation(&mut self.cx, id);
+        }
+    }
+
     /// The view is no older than the request.
     fn on_fresh_view(&mut self, mut call: UserCall) {
         match self.view.get(&call.job).cloned() {
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -70,11 +70,16 @@
         }
         self.cx.token = self.cx.token.max(report.warrant);
         let me = self.cx.settings.member.clone();
+        let may_renew = self.may_renew();
         match &mut self.lead {
             // It may have come in during the standstill, and the grant may have run out.
             Some(lead) if lead.doubtful() => {
                 self.cx.refuse(id, 503, "it is not certain who leads");
             }
+            // Before state is read only the node's own knowledge of cancellations stops tasks.
+            Some(lead) if !lead.loaded() && !may_renew => {
+                self.cx.refuse(id, 503, "cancellations are not known yet");
+            }
             Some(lead) if report.warrant <= lead.token => lead.on_checkin(&mut self.cx, id, report),
             // Somebody with a higher token acts for the controllers: not us, and it is not known
             // here who.
@@ -124,8 +129,10 @@
         let now = cx.now.steady;
         if !self.loaded() {
             self.heard_at = now;
-            // Renews the lease and announces the token while state is still being read.
-            return self.answer_checkin(cx, request, Vec::new());
+            // Renews the lease and announces the token while state is still being read, which an
+            // outage may make long: cancelled tasks must be gone in time all the same.
+            let orders = cancelled_here(cx, &report);
+            return self.answer_checkin(cx, request, orders);
         }
         if self.fleet.is_gone(&report.perch) {
             // The machine was deleted: a late copy of a report.
@@ -998,6 +1005,18 @@
     }
 }
 
+/// Stops for the tasks on a machine whose jobs are known to be cancelled.
+fn cancelled_here(cx: &Ctx, report: &Report) -> Vec<Order> {
+    let live = report.shards.iter().filter(|s| s.status != "exited");
+    live.filter_map(|s| {
+        let (job, task) = parse_task(&s.shard)?;
+        cx.cancellations.get(job)?;
+        Some(stop_order(job, task, s.attempt, 0))
+    })
+    .take(MOST_ORDERS)
+    .collect()
+}
+
 /// When a worker's lease has certainly run out after our last answer: with drift, and a little for
 /// the answer's own time.
 fn lapse(lease: Micros) -> Micros {
