Move the unit tests out of the source files into test files

Tests live in test files; ten source files still ended in a module of tests. A test that uses public items only is now in its package's `tests/`, one file a subject (core: jobs, ledger, pace, settings; wire: records; testkit: production). Those that need private items stand beside their source (`stats/tests.rs`, `workers/machine/tests.rs`, `config/tests.rs`, `http/tests.rs`, `production/tests.rs`); nothing was made public.

--- a/crates/core/src/pace.rs
+++ b/crates/core/src/pace.rs
@@ -75,18 +75,3 @@
         self.level = self.level.min(0.0);
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_bucket_refills_at_its_rate_and_no_deeper_than_a_second() {
-        let mut b = Bucket::new(4.0);
-        assert!((0..4).all(|_| b.take(0, 1.0)));
-        assert!(!b.take(0, 1.0));
-        assert_eq!(b.ready_at(0, 1.0), SECOND / 4);
-        assert!(b.take(SECOND / 4, 1.0));
-        assert_eq!(b.available(100 * SECOND), 4);
-    }
-}
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -181,26 +181,3 @@
     /// Largest number of machines rented at once, booting ones included.
     fleet_max: u64 = 20_000, 1, 100_000;
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// The README's table of keys is this one.
-    #[test]
-    fn the_readme_documents_every_key() {
-        let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../README.md");
-        let readme = std::fs::read_to_string(path).expect("the README");
-        let mut missing = Vec::new();
-        for (key, doc, default, low, high) in Tuning::KEYS {
-            let row = format!(
-                "| `{key}` | {default} | {low} to {high} | {} |",
-                doc.trim().trim_end_matches('.')
-            );
-            if !readme.contains(&row) {
-                missing.push(row);
-            }
-        }
-        assert!(missing.is_empty(), "README lacks:\n{}", missing.join("\n"));
-    }
-}
--- a/crates/core/src/stats.rs
+++ b/crates/core/src/stats.rs
@@ -175,31 +175,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Classes are the users' words: their averages once could have grown beyond any value.
-    #[test]
-    fn the_record_keeps_what_weighs_most_within_a_limit() {
-        let mut stats = Stats::default();
-        for k in 0..100 {
-            let (class, weight) = (format!("class-{k:03}"), f64::from(k));
-            let mean = Mean { value: 1.5, weight };
-            stats.ratios.insert(class.clone(), mean);
-            stats.runs.insert((class, "std".into()), mean);
-        }
-        let boot = Mean {
-            value: 9e6,
-            weight: 1.0,
-        };
-        stats.boots.insert("std".into(), boot);
-        let record = stats.record_within(2048);
-        assert!(json_size(&to_value(&record)) <= 2048);
-        assert_eq!((record.runs.len(), record.boots.len()), (0, 1));
-        assert!(record.ratios.len() > 20);
-        assert!(record.ratios.iter().any(|r| r.0 == "class-099"));
-        assert!(record.ratios.iter().all(|r| r.0 != "class-000"));
-        let all = stats.record_within(1_000_000);
-        assert_eq!((all.runs.len(), all.ratios.len()), (100, 100));
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/core/src/workers/machine/tests.rs
@@ -0,0 +1,62 @@
+use super::*;
+
+fn machine(now: Micros) -> Machine {
+    let report = Report {
+        perch: "n-000001".into(),
+        endpoint: "10.1.0.1:9000".into(),
+        build: "std".into(),
+        yard: "a".into(),
+        loaner: true,
+        tenure: 1,
+        tally: 1,
+        warrant: 0,
+        recall_s: None,
+        shards: Vec::new(),
+    };
+    let mut m = Machine::new(&report, None, now);
+    m.tenure = 1;
+    m
+}
+
+/// A new leader, to whom no machine has shown yet that it hears, once rented for work that
+/// its machines covered.
+#[test]
+fn a_machine_that_has_yet_to_hear_counts_for_a_while_but_gets_no_work() {
+    let (now, silence) = (100 * SECOND, 5 * SECOND);
+    let mut m = machine(now);
+    m.deaf_since = Some(now - SECOND);
+    assert!(m.counts(now, silence) && !m.usable(now, silence));
+    m.deaf_since = Some(now - ANSWER_TIME - SECOND);
+    assert!(!m.counts(now, silence));
+    m.hears = true;
+    m.deaf_since = None;
+    assert!(m.usable(now, silence));
+}
+
+/// The runs of tasks that were taken over seemed short, and made all estimates too low.
+#[test]
+fn a_task_of_an_earlier_leader_is_known_as_such() {
+    let mut a = Assignment {
+        job: 0,
+        job_id: "req-1".into(),
+        task: 0,
+        attempt: 1,
+        tenure: 1,
+        page: 0,
+        written: 0,
+        cpus: 1.0,
+        gpus: 0.0,
+        memory: 1.0,
+        team: "t".into(),
+        zone: "a".into(),
+        launched: Some((0, 0)),
+        seen: Seen::Never,
+        decided: 0,
+        started: None,
+        expected: 20 * SECOND,
+        stop: None,
+    };
+    assert!(a.recovered());
+    a.launched = Some((1, 7));
+    assert!(!a.recovered());
+}
--- /dev/null
+++ b/crates/core/tests/jobs.rs
@@ -0,0 +1,69 @@
+//! Jobs: what is accepted, and when a replica is started again.
+
+use grebewood_core::jobs::{check_fields, check_size, Job};
+use grebewood_core::SECOND;
+use grebewood_wire::http::{Precedence, Submission};
+use grebewood_wire::records::JobRecord;
+
+fn submission(shape: &str, shards: u64) -> Submission {
+    Submission {
+        uid: "req-1".into(),
+        workclass: "work".into(),
+        owner: "t".into(),
+        shape: shape.into(),
+        precedence: Precedence::Normal,
+        shards,
+        vcpus: 1.0,
+        accelerators: 0.0,
+        memory_gb: 1.0,
+        bundle: "img".into(),
+        pull_gb: 0.5,
+        builds: Some(vec!["g8".into(); 20]),
+        yard: None,
+        one_zone: false,
+        spread: false,
+        loaner: true,
+        expected_s: 1.0,
+        savepoint_s: 0.0,
+        flush_s: 0.0,
+        due_s: None,
+    }
+}
+
+/// No exit of a replica ends it for good: at first it is started again at once, then after
+/// growing pauses, and a long run begins a new row. Others of its job do not wait for it.
+#[test]
+fn a_replica_that_keeps_ending_is_started_with_growing_pauses() {
+    let record = JobRecord {
+        spec: submission("daemon", 2),
+        accepted_us: 0,
+    };
+    let mut job = Job::new(record, 0, 0);
+    assert!(!job.complete(0) && !job.all_done());
+    let mut now = 100 * SECOND;
+    let mut pauses = Vec::new();
+    for ran in [SECOND, SECOND, SECOND, 90 * SECOND, 0, 0, 0, 0, 0, 0, 0, 0] {
+        job.replica_ended(0, "n-000001", ran, now);
+        let from = now;
+        while job.next_waiting(now) != Some(0) {
+            assert_eq!((job.next_waiting(now), job.placeable(now)), (Some(1), 1));
+            now += SECOND;
+        }
+        assert_eq!(job.placeable(now), 2);
+        pauses.push((now - from) / SECOND);
+    }
+    assert_eq!(pauses, [0, 1, 2, 0, 1, 2, 4, 8, 16, 30, 30, 30]);
+    assert!(job.shuns("n-000001", now) && !job.shuns("n-000002", now));
+}
+
+#[test]
+fn a_record_that_state_could_not_hold_is_refused_for_good() {
+    let mut s = submission("batch", 1);
+    assert_eq!(check_fields(&s), Ok(()));
+    assert_eq!(check_size(&s, 2048), Ok(()));
+    assert_eq!(check_size(&s, 4096), Ok(()));
+    s.builds = Some(vec!["g".repeat(100); 40]);
+    assert_eq!(check_fields(&s), Ok(()));
+    assert!(check_size(&s, 4096).is_err());
+    assert_eq!(check_size(&s, 16_384), Ok(()));
+}
--- /dev/null
+++ b/crates/grebewood/src/config/tests.rs
@@ -0,0 +1,99 @@
+use super::*;
+
+const GOOD: &str = r#"
+member = "a"
+domain = "z"
+front = "127.0.0.1:1"
+peer_listen = "127.0.0.1:2"
+surprise = 1
+[endpoints]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[cluster]
+[[cluster.teams]]
+name = "t"
+cpus = 1.0
+cpus_max = 2.0
+[cluster.workers]
+report_s = 1.5
+lease_s = 10.0
+cancel_s = 30.0
+[cluster.state]
+rps = 100.0
+write_rps = 15.0
+value_kb = 8.0
+txn_ops = 8
+[cluster.cloud]
+rps = 8.0
+list_lag_s = 3.0
+"#;
+
+#[test]
+fn settings_are_read_and_unknown_fields_ignored() {
+    let (settings, endpoints) = parse(GOOD).expect("good settings");
+    assert_eq!(settings.lease, 10_000_000);
+    assert_eq!(settings.state.value_bytes, 8192);
+    assert_eq!(endpoints.socket_limit, 1_024);
+}
+
+/// What is written from the start fits the limits that come later at a moment nobody announces.
+#[test]
+fn the_smaller_of_present_and_next_limits_counts() {
+    let next = "txn_ops = 8\n[cluster.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nrps = 900.0\n";
+    let (settings, _) = parse(&GOOD.replace("txn_ops = 8", next)).expect("good settings");
+    let expected = StateLimits {
+        rps: 100.0,
+        write_rps: 15.0,
+        value_bytes: 2048,
+        txn_ops: 4,
+    };
+    assert_eq!(settings.state, expected);
+}
+
+#[test]
+fn aims_of_services_are_read_and_unknown_kinds_left_alone() {
+    let aims = "[[cluster.objectives]]\nkind = \"up\"\nclass = \"feed\"\nafter_s = 5.0\n\
+                worst_s = 30.0\nshare = 0.96\n[[cluster.objectives]]\nkind = \"other\"\n\
+                after_s = \"noon\"\n";
+    let text = GOOD.replace("[cluster.workers]", &format!("{aims}[cluster.workers]"));
+    assert!(parse(&text).is_err(), "a time is a number in any aim");
+    let text = text.replace("\"noon\"", "-1.0");
+    let (settings, _) = parse(&text).expect("good settings");
+    assert_eq!(settings.objectives[0].after, Some(5_000_000));
+    assert_eq!(settings.objectives[0].worst, Some(30_000_000));
+    assert_eq!(settings.objectives[1].after, None);
+}
+
+#[test]
+fn a_bad_field_is_named() {
+    for (from, to, field) in [
+        (
+            "lease_s = 10.0",
+            "lease_s = -1.0",
+            "cluster.workers.lease_s",
+        ),
+        ("lease_s = 10.0", "", "lease_s"),
+        ("127.0.0.1:4", "state.example:4", "endpoints.state"),
+        ("cpus = 1.0", "cpus = -1.0", "cluster.teams.cpus"),
+        ("txn_ops = 8", "txn_ops = 2", "cluster.state.txn_ops"),
+        (
+            "txn_ops = 8",
+            "txn_ops = 8\n[cluster.state.next]\ntxn_ops = 0",
+            "cluster.state.next.txn_ops",
+        ),
+        (
+            "txn_ops = 8",
+            "txn_ops = 8\n[cluster.state.next]\nvalue_kb = -2.0",
+            "cluster.state.next.value_kb",
+        ),
+        (
+            "txn_ops = 8",
+            "txn_ops = 8\n[cluster.state.next]\nwrite_rps = nan",
+            "cluster.state.next.write_rps",
+        ),
+    ] {
+        let error = parse(&GOOD.replace(from, to)).expect_err(field);
+        assert!(error.contains(field), "{error}");
+        assert!(!error.contains('\n'), "{error}");
+    }
+}
--- /dev/null
+++ b/crates/net/src/http/tests.rs
@@ -0,0 +1,57 @@
+use super::*;
+
+fn bad(bytes: &[u8]) -> u16 {
+    match parse_request(bytes) {
+        Parsed::Bad(status, _) => status,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn requests_are_read_piece_by_piece() {
+    let whole = b"POST /checkin?x=1 HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET";
+    for cut in 0..whole.len() - 3 {
+        assert_eq!(parse_request(&whole[..cut]), Parsed::Partial, "cut {cut}");
+    }
+    match parse_request(whole) {
+        Parsed::Whole(r, n) => {
+            assert_eq!(
+                (r.path.as_str(), r.body.as_slice()),
+                ("/checkin", &b"abc"[..])
+            );
+            assert_eq!(n, whole.len() - 3);
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn broken_requests_are_refused() {
+    assert_eq!(bad(b"\x00\x01\x02\r\n\r\n"), 400);
+    assert_eq!(bad(b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n"), 400);
+    assert_eq!(
+        bad(b"POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n"),
+        413
+    );
+    assert_eq!(
+        bad(b"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n"),
+        413
+    );
+    assert_eq!(
+        bad(b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n"),
+        400
+    );
+    assert_eq!(
+        bad(b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"),
+        501
+    );
+    let long = [b"GET / HTTP/1.1\r\nA: ".to_vec(), vec![b'x'; 9_000]].concat();
+    assert_eq!(bad(&long), 431);
+}
+
+#[test]
+fn a_response_cut_short_is_no_response() {
+    let bytes = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc";
+    assert_eq!(parse_response(bytes, false), Parsed::Partial);
+    assert!(matches!(parse_response(bytes, true), Parsed::Bad(..)));
+}
--- /dev/null
+++ b/crates/testkit/src/production/tests.rs
@@ -0,0 +1,55 @@
+use super::*;
+use grebewood_wire::http::from_value;
+use grebewood_wire::{peer, records};
+
+/// What the version in production really wrote and sent, read by the present one; and by the
+/// frozen definitions, which must be those of that version.
+#[test]
+fn what_production_wrote_is_read() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/data/production.txt");
+    let text = std::fs::read_to_string(path).expect("what production left");
+    let (mut records, mut messages) = (0, 0);
+    for line in text.lines() {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let bytes = |at: usize| crate::world::unhex(words[at]).expect("hexadecimal digits");
+        match words[0] {
+            "record" => {
+                let value: Value = from_cbor(&bytes(3)).expect("a value");
+                let key = words[1];
+                check_record(key, &value).expect(key);
+                read_now(key, &value).expect(key);
+                records += 1;
+            }
+            "peer-request" => {
+                check_peer_request(&bytes(1)).expect("a message");
+                from_peer::<peer::PeerRequest>(&bytes(1)).expect("a message");
+                messages += 1;
+            }
+            "peer-answer" => {
+                check_peer_answer(&bytes(1)).expect("an answer");
+                from_peer::<peer::PeerAnswer>(&bytes(1)).expect("an answer");
+                messages += 1;
+            }
+            _ => {}
+        }
+    }
+    assert!(records > 10 && messages > 5);
+}
+
+/// Reads a record as the present version does.
+fn read_now(key: &str, value: &Value) -> Result<(), grebewood_wire::DecodeError> {
+    use grebewood_wire::http::Catalogue;
+    use records::*;
+    match key.split('/').next().unwrap_or_default() {
+        "job" if key.ends_with(CANCEL) => from_value::<CancelRecord>(value).map(drop),
+        "job" => from_value::<JobRecord>(value).map(drop),
+        "past" => from_value::<PastRecord>(value).map(drop),
+        "done" => from_value::<DonePageRecord>(value).map(drop),
+        "page" => from_value::<PageRecord>(value).map(drop),
+        "hire" => from_value::<HireRecord>(value).map(drop),
+        "stats" => from_value::<StatsRecord>(value).map(drop),
+        "leader" => from_value::<LeaderRecord>(value).map(drop),
+        "catalogue" => from_value::<Catalogue>(value).map(drop),
+        _ => Err(grebewood_wire::DecodeError("no such record".into())),
+    }
+}
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -141,19 +141,3 @@
     /// `(class, mean ratio of run time to the owner's estimate, weight)`.
     pub ratios: Vec<(String, f64, f64)>,
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Keys of this version and of the one before say what they said, and nothing else does.
-    #[test]
-    fn keys_of_both_versions_are_read() {
-        assert_eq!(JobKey::parse("job/req-1"), Some(JobKey::Live("req-1")));
-        let cancelled = Some(JobKey::Cancelled("req-1"));
-        assert_eq!(JobKey::parse(&cancel_key("req-1")), cancelled);
-        assert_eq!(JobKey::parse("cancel/req-1"), cancelled);
-        assert_eq!(JobKey::parse("past/req-1"), None);
-        assert_eq!(JobKey::parse("done/0"), None);
-    }
-}
--- /dev/null
+++ b/crates/wire/tests/records.rs
@@ -0,0 +1,14 @@
+//! Keys of records.
+
+use grebewood_wire::records::{cancel_key, JobKey};
+
+/// Keys of this version and of the one before say what they said, and nothing else does.
+#[test]
+fn keys_of_both_versions_are_read() {
+    assert_eq!(JobKey::parse("job/req-1"), Some(JobKey::Live("req-1")));
+    let cancelled = Some(JobKey::Cancelled("req-1"));
+    assert_eq!(JobKey::parse(&cancel_key("req-1")), cancelled);
+    assert_eq!(JobKey::parse("cancel/req-1"), cancelled);
+    assert_eq!(JobKey::parse("past/req-1"), None);
+    assert_eq!(JobKey::parse("done/0"), None);
+}
