--- a/crates/testkit/src/machines.rs
+++ b/crates/testkit/src/machines.rs
@@ -46,8 +46,8 @@
     pub deaf_until: Micros,
     /// Until then nothing reaches it or comes from it, while its tasks go on.
     pub cut_until: Micros,
-    /// Until then copies of its reports arrive late, by this much.
-    pub copied: (Micros, Micros),
+    /// Until then it reaches no controller, while direct commands reach it.
+    pub mute_until: Micros,
     pub faulty: bool,
     pub recall_at: Option<Micros>,
     pub tenure: u64,
--- a/crates/testkit/src/production.rs
+++ b/crates/testkit/src/production.rs
@@ -6,8 +6,8 @@
 //! checks every write and every peer message of every scenario. These definitions are of the version
 //! that `deploy/service.toml` names; they change only when it names another.
 
-use grebewood_wire::{from_cbor, from_peer, to_cbor, Value};
-use serde::Deserialize;
+use grebewood_wire::{from_cbor, from_peer, to_cbor, to_peer, DecodeError, Value};
+use serde::{Deserialize, Serialize};
 
 /// A job's description, as it is part of its record.
 #[derive(Deserialize)]
@@ -118,7 +118,7 @@
     yards: Vec<String>,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, Serialize)]
 enum PeerRequest {
     Contact {
         from: String,
@@ -130,7 +130,7 @@
     },
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, Serialize)]
 struct PeerAnswer {
     member: String,
     state_contact_age_us: Option<u64>,
@@ -252,5 +252,15 @@
     }
 }
 
+/// What of a message to another controller the version in production knows; the rest is lost.
+pub fn known_of_peer_request(body: &[u8]) -> Result<Vec<u8>, DecodeError> {
+    from_peer::<PeerRequest>(body).map(|known| to_peer(&known))
+}
+
+/// What of the answer to such a message the version in production knows.
+pub fn known_of_peer_answer(body: &[u8]) -> Result<Vec<u8>, DecodeError> {
+    from_peer::<PeerAnswer>(body).map(|known| to_peer(&known))
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -10,7 +10,8 @@
 //! state value=4 ops=8 writes=20 rps=100 [next_value=2 next_ops=4 ...]   what the state service takes
 //!                                           (KiB, changes, a second), and what it announces for later
 //! tuning KEY=VALUE ...                      operators' settings
-//! old NODE ...                              these do not know what is announced: the version before
+//! old NODE ...                              these do not know what is announced, nor more of a peer
+//!                                           message than the version in production: the one before
 //! store NAME age=30                         data/NAME.txt: what the version before left in the middle
 //!                                           of its work, 30 s after its start
 //! type NAME cpus=8 mem=32 price=1 spot=0.3 boot=10 cap=4 spotcap=2 zones=a,b
@@ -24,7 +25,8 @@
 //!       spot=no one_zone=yes spread=yes shape= class=]
 //! every 6 from 1 to 90 submit JOB ...       such a job every 6 s: JOB001, JOB002, ...
 //! at 5  begun JOB                           a task of it came onto a machine
-//! at 5  cancel JOB
+//!                                           node=N|leader|other: there the first time, later anywhere
+//! at 5  cancel JOB [node=N|leader|other]
 //! at 5  expect JOB STATUS                   a poll at every node that is up gives this status;
 //!                                           live: pending or running
 //! at 5  starts JOB N                        its tasks came onto machines N times so far
@@ -46,15 +48,38 @@
 //! at 5  state down for=10
 //! at 5  cloud down for=10
 //! at 5  trap page-write                     the leader crashes when its next page is written
-//! at 5  late txn for=10                     the leader's next transaction is applied late
+//! at 5  trap confirm [for=0.3]              the next node that confirms a cancellation to a user
+//!                                           crashes right after that answer has gone out
+//! at 5  late txn for=10 [node=N|leader] [at_once=yes]   the next transaction of that node, or of whoever
+//!                                           leads, gets no answer and is carried out 10 s later, after
+//!                                           newer ones; at_once: at once, only its answer is lost
+//! at 5  late txns for=20 every=3 late=8 [at_once=yes]   every third one of any node meets this
+//! at 5  slow state for=20 by=0.8            its answers take that much longer; what is asked is carried
+//!                                           out as ever
 //! at 5  late report MACHINE for=10          a copy of its next report arrives late
 //! at 5  lose answer MACHINE                 the answer to its next report is lost
-//! at 5  unplug MACHINE for=30               nothing reaches it or comes from it; its tasks go on
-//! at 5  deaf MACHINE for=30                 its reports arrive, no answer or command reaches it
-//! at 5  copies MACHINE for=10 late=20       copies of its reports reach the leader late
+//! at 5  unplug MACHINE|all for=30           nothing reaches it or comes from it; its tasks go on
+//! at 5  deaf MACHINE|all for=30             its reports arrive, no answer or command reaches it
+//! at 5  mute MACHINE|all for=30             it reaches no controller; direct commands reach it
+//! at 5  hang of=JOB for=5                   all machines that hold a task of it now; so for unplug,
+//!                                           deaf, mute and lose direct
+//! at 5  lose direct MACHINE|all for=10 [late=6]   commands sent straight to it are carried out late, and
+//!                                           the sender gets no answer
+//! at 5  copies MACHINE|all for=10 late=20 [next=yes] [to=all]   copies of its reports reach the leader
+//!                                           late; next: the newest one is kept, and reaches the next
+//!                                           leader as soon as it has its grant; to=all: they reach every
+//!                                           controller that is up
+//! at 5  copied N                            so many copies at least met a leader of a newer token
 //! at 5  restart MACHINE                     its worker is back at once, in a new session
 //! at 5  rented MACHINE yes|no
-//! at 5  hang MACHINE for=5 | faulty MACHINE | kill MACHINE | recall MACHINE in=10
+//! at 5  cancel_now N [hang=30]              users cancel up to N jobs that run and have 20 s to go, within
+//!                                           0.2 s; up to eight of their machines hang that long
+//! at 5  cancel_at_end for=20 [after=0.1]    every job whose last task completes is cancelled, asked about
+//!                                           and submitted again at every node, then or so much later
+//! at 5  looks for=20                        right after a job was first accepted, called done or cancelled,
+//!                                           users ask at every node within 1, 5, 20 and 60 ms, and submit
+//!                                           it again there
+//! at 5  hang MACHINE|all for=5 | faulty MACHINE | kill MACHINE | recall MACHINE in=10
 //! at 5  boots never | boots 10              of machines rented from now on
 //! at 5  corrupt KEY                         the record becomes unreadable
 //! end 60
@@ -120,7 +145,7 @@
 }
 
 /// What counts as trouble, for how long if the line does not say.
-const TROUBLES: [(&str, Micros); 13] = [
+const TROUBLES: [(&str, Micros); 17] = [
     ("crash", 4_000_000),
     ("upgrade", 4_000_000),
     ("cut", 10_000_000),
@@ -134,6 +159,10 @@
     ("unplug", 30_000_000),
     ("copies", 10_000_000),
     ("hang", 5_000_000),
+    ("mute", 30_000_000),
+    ("slow", 20_000_000),
+    ("lose", 10_000_000),
+    ("cancel_now", 0),
 ];
 
 impl Script {
@@ -141,9 +170,15 @@
     pub fn troubles_end(&self) -> Micros {
         let end = |(at, line): &(Micros, Line)| {
             let word = line.words.first()?;
+            if line.words.get(1).is_some_and(|w| w == "answer") {
+                return None; // A lost answer is over at once.
+            }
             let (_, default) = TROUBLES.iter().find(|(verb, _)| verb == word)?;
             let takes = line.time("for", *default as f64 / 1e6).ok()?;
-            Some(at + takes + line.time("late", 0.0).ok()?)
+            let late = line
+                .time("late", if word == "lose" { 6.0 } else { 0.0 })
+                .ok()?;
+            Some(at + takes + late + line.time("hang", 0.0).ok()?)
         };
         self.events.iter().filter_map(end).max().unwrap_or(0)
     }
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -10,12 +10,16 @@
     Team, Tuning,
 };
 use grebewood_wire::http::{
-    Change, CheckinAnswer, DirectOrders, JobStatus, ListedMachine, MachineList, MachineType,
+    Change, CheckinAnswer, DirectOrders, JobStatus, ListedMachine, MachineList, MachineType, Order,
     Perches, Precedence, Redirect, RentalRequest, Submission, Txn,
 };
 use grebewood_wire::{from_cbor, to_cbor};
 use std::collections::{BTreeMap, BTreeSet};
 
+mod troubles;
+
+use troubles::Troubles;
+
 type Micros = u64;
 const S: Micros = 1_000_000;
 const MS: Micros = 1_000;
@@ -44,8 +48,12 @@
         machine: String,
         flight: u64,
     },
-    /// Nobody: the request was the late copy of a report.
-    Copy,
+    /// A submission that is repeated once, at a given node.
+    Again(String),
+    /// Nobody: the request was the late copy of a report, or one that was kept for a new leader.
+    Copy {
+        kept: bool,
+    },
     Peer(Caller),
 }
 
@@ -66,8 +74,13 @@
     /// The limits of the state service change.
     Limits(StateLimits),
     Answered(Asker, usize, u16, Vec<u8>),
-    /// A late copy of a report, for whoever leads then.
-    Copy(Vec<u8>),
+    /// A late copy of a report, for whoever leads then, or for every node.
+    Copy {
+        body: Vec<u8>,
+        to_all: bool,
+    },
+    /// Users look closely at a job.
+    Look(String),
     Script(Line),
     Start(usize),
     Tick,
@@ -88,6 +101,8 @@
     spec: Submission,
     accepted: bool,
     cancelled_at: Option<Micros>,
+    /// When its user first asked to cancel it.
+    cancel_asked: Option<Micros>,
     done: bool,
     completed: BTreeSet<String>,
     starts: u64,
@@ -108,6 +123,8 @@
 struct Slot {
     node: Option<Node>,
     process: u64,
+    /// It is down until then.
+    down_until: Micros,
     /// Until then the process stands still, and what comes in waits.
     frozen_until: Micros,
     /// It stood still: until an answer to a renewal made since, it must not act as a leader.
@@ -151,7 +168,7 @@
     cuts: Vec<Cut>,
     refused: Vec<(usize, Micros)>,
     trap_page_write: bool,
-    late_txn: Option<Micros>,
+    troubles: Troubles,
     late_report: BTreeMap<String, Micros>,
     lose_answer: BTreeSet<String>,
     expected: u64,
@@ -182,6 +199,13 @@
     })
 }
 
+/// The status of a job in an answer to its user.
+fn status_in(body: &[u8]) -> String {
+    let map: BTreeMap<String, grebewood_wire::Value> = from_cbor(body).unwrap_or_default();
+    let status = map.get("status").and_then(|v| v.as_text());
+    status.unwrap_or_default().to_string()
+}
+
 impl World {
     pub fn new(script: Script) -> Result<Self, String> {
         let settings = Settings {
@@ -240,7 +264,7 @@
             cuts: Vec::new(),
             refused: Vec::new(),
             trap_page_write: false,
-            late_txn: None,
+            troubles: Troubles::default(),
             late_report: BTreeMap::new(),
             lose_answer: BTreeSet::new(),
             expected: 0,
@@ -256,6 +280,7 @@
             w.slots.push(Slot {
                 node: None,
                 process: 0,
+                down_until: 0,
                 frozen_until: 0,
                 unsure: false,
                 renewals: BTreeSet::new(),
@@ -454,6 +479,7 @@
                     spec,
                     accepted: yes("accepted")?,
                     cancelled_at: yes("cancelled")?.then_some(0),
+                    cancel_asked: yes("cancelled")?.then_some(0),
                     done: yes("done")?,
                     completed: BTreeSet::new(),
                     starts: 0,
@@ -497,7 +523,7 @@
             hangs_until: 0,
             deaf_until: 0,
             cut_until: 0,
-            copied: (0, 0),
+            mute_until: 0,
             faulty: false,
             recall_at: None,
             tenure: 1,
@@ -559,6 +585,10 @@
                 self.push(self.now + TICK, Ev::Tick);
                 self.tick()
             }
+            // It runs already, or ended again meanwhile and is back later.
+            Ev::Start(n) if self.slots[n].node.is_some() || self.now < self.slots[n].down_until => {
+                Ok(())
+            }
             Ev::Start(n) => {
                 let mut settings = self.settings.clone();
                 if let (Some(next), false) = (self.next_limits, self.old.contains(&n)) {
@@ -576,6 +606,7 @@
                 self.slots[n] = Slot {
                     node: Some(Node::new(settings, self.tuning.clone(), process)),
                     process,
+                    down_until: 0,
                     frozen_until: 0,
                     unsure: false,
                     renewals: BTreeSet::new(),
@@ -619,6 +650,9 @@
                 if self.slots[node].node.is_none() {
                     return self.answered(asker, node, 0, Vec::new());
                 }
+                if matches!(asker, Asker::Copy { .. }) {
+                    self.count_copy(node, &body);
+                }
                 self.next_request += 1;
                 let id = self.next_request;
                 self.requests.insert((node, id), asker);
@@ -638,12 +672,12 @@
                 Ok(())
             }
             Ev::Answered(asker, node, status, body) => self.answered(asker, node, status, body),
-            Ev::Copy(body) => {
-                let leaders: Vec<usize> =
-                    (0..self.slots.len()).filter(|n| self.leads(*n)).collect();
-                for node in leaders {
-                    self.ask(node, "POST", "/checkin".into(), body.clone(), Asker::Copy);
-                }
+            Ev::Copy { body, to_all } => {
+                self.copy_arrives(body, to_all);
+                Ok(())
+            }
+            Ev::Look(job) => {
+                self.look(&job);
                 Ok(())
             }
             Ev::Script(line) => {
@@ -659,11 +693,11 @@
                 Ok(())
             }
             Ev::RetrySubmit(job) => {
-                self.submit(&job);
+                self.submit(&job, None);
                 Ok(())
             }
             Ev::RetryCancel(job) => {
-                self.cancel(&job);
+                self.cancel(&job, None);
                 Ok(())
             }
         }
@@ -698,6 +732,7 @@
                     id, status, body, ..
                 } => {
                     if let Some(asker) = self.requests.remove(&(n, id)) {
+                        self.confirmed(n, &asker, status, &status_in(&body));
                         self.push(self.now + MS, Ev::Answered(asker, n, status, body));
                     }
                 }
@@ -717,6 +752,7 @@
                 }
             }
         }
+        self.deliver_kept(n);
     }
 
     /// A process that has stepped down may become the leader anew.
@@ -731,7 +767,7 @@
         match effect {
             Effect::Answer { id, status, .. } => {
                 let asker = self.requests.get(&(n, *id));
-                let worker = matches!(asker, Some(Asker::Worker { .. } | Asker::Copy));
+                let worker = matches!(asker, Some(Asker::Worker { .. } | Asker::Copy { .. }));
                 (worker && *status == 200).then_some("answers a worker")
             }
             Effect::Call(call) if call.path.ends_with("/extend") => {
@@ -770,18 +806,10 @@
                 let Some(mut at) = self.arrival(n, "state", 2 * MS) else {
                     return;
                 };
+                if call.path == "/txn" && self.lose_txn(n, at, &call) {
+                    return;
+                }
                 if call.path == "/txn" && self.leads(n) {
-                    if let Some(late) = self.late_txn.take() {
-                        // It is carried out late, and its answer reaches nobody.
-                        let nobody = Caller {
-                            node: n,
-                            process: 0,
-                            call: call.id,
-                        };
-                        let ev = Ev::State(nobody, call.method, call.path, call.body);
-                        self.push(at + late, ev);
-                        return;
-                    }
                     let text = String::from_utf8_lossy(&call.body).into_owned();
                     if self.trap_page_write && text.contains("page/") {
                         self.trap_page_write = false;
@@ -815,6 +843,11 @@
                 }
                 let to = (0..self.slots.len()).filter(|o| *o != n).nth(p);
                 let Some(to) = to else { return };
+                // The version before writes and reads what it knows, and nothing else.
+                let mut body = call.body;
+                if self.old.contains(&n) || self.old.contains(&to) {
+                    body = production::known_of_peer_request(&body).unwrap_or(body);
+                }
                 let ways = (self.arrival(n, "peers", MS), self.arrival(to, "peers", MS));
                 if let (Some(out), Some(back)) = ways {
                     let at = out.max(back);
@@ -823,7 +856,7 @@
                         door: Door::Peer,
                         method: call.method.into(),
                         path: call.path,
-                        body: call.body,
+                        body,
                         asker: Asker::Peer(caller),
                     };
                     self.push(at, ev);
@@ -833,7 +866,8 @@
     }
 
     fn reply(&mut self, caller: Caller, what: &str, delay: Micros, status: u16, body: Vec<u8>) {
-        if let Some(at) = self.arrival(caller.node, what, delay) {
+        let lag = if what == "state" { self.state_lag() } else { 0 };
+        if let Some(at) = self.arrival(caller.node, what, delay + lag) {
             let input = Input::Reply {
                 call: caller.call,
                 outcome: Outcome::Answer { status, body },
@@ -909,18 +943,21 @@
         self.push(self.now + MS, ev);
     }
 
-    fn submit(&mut self, job: &str) {
+    fn submit(&mut self, job: &str, node: Option<usize>) {
         let Some(seen) = self.jobs.get(job) else {
             return;
         };
         let body = to_cbor(&seen.spec);
-        let node = self.any_node();
+        let node = node.unwrap_or_else(|| self.any_node());
         let asker = Asker::Submit(job.into());
         self.ask(node, "POST", "/submissions".into(), body, asker);
     }
 
-    fn cancel(&mut self, job: &str) {
-        let node = self.any_node();
+    fn cancel(&mut self, job: &str, node: Option<usize>) {
+        let node = node.unwrap_or_else(|| self.any_node());
+        if let Some(seen) = self.jobs.get_mut(job) {
+            seen.cancel_asked.get_or_insert(self.now);
+        }
         let asker = Asker::Cancel(job.into());
         let path = format!("/submissions/{job}/cancel");
         self.ask(node, "POST", path, Vec::new(), asker);
@@ -1017,12 +1054,14 @@
                     return Err(format!("went_back: {job} is done after it was cancelled"));
                 }
                 seen.done = true;
+                self.look_after(job, "done");
             }
             "aborted" => {
                 if seen.done {
                     return Err(format!("went_back: {job} is cancelled after it was done"));
                 }
                 seen.cancelled_at.get_or_insert(now);
+                self.look_after(job, "aborted");
             }
             _ if seen.done || seen.cancelled_at.is_some() => {
                 return Err(format!("went_back: {job} is {status} after it was over"));
@@ -1039,12 +1078,7 @@
         status: u16,
         body: Vec<u8>,
     ) -> Result<(), String> {
-        let said = || {
-            let map: BTreeMap<String, grebewood_wire::Value> = from_cbor(&body).unwrap_or_default();
-            map.get("status")
-                .and_then(|v| v.as_text().map(str::to_string))
-                .unwrap_or_default()
-        };
+        let said = || status_in(&body);
         match asker {
             Asker::Submit(job) => match status {
                 200 | 201 => {
@@ -1052,6 +1086,7 @@
                         seen.accepted = true;
                         seen.answered = self.now;
                     }
+                    self.look_after(&job, "accepted");
                     self.told(&job, &said())?;
                 }
                 400 | 422 if self.jobs.get(&job).is_some_and(|j| j.accepted) => {
@@ -1060,6 +1095,13 @@
                 400 | 422 => {}
                 _ => self.push(self.now + S, Ev::RetrySubmit(job)),
             },
+            Asker::Again(job) => match status {
+                200 | 201 => self.told(&job, &said())?,
+                400 | 422 if self.jobs.get(&job).is_some_and(|j| j.accepted) => {
+                    return Err(format!("forgotten: {job} gets {status}"));
+                }
+                _ => {}
+            },
             Asker::Poll(job) => {
                 if status == 404 && self.jobs.get(&job).is_some_and(|j| j.accepted) {
                     return Err(format!("forgotten: {job} gets 404"));
@@ -1105,9 +1147,12 @@
                 }
                 self.met += 1;
             }
-            Asker::Copy => {
-                let answer = from_cbor::<CheckinAnswer>(&body);
-                if status == 200 && answer.is_ok_and(|a| !a.orders.is_empty()) {
+            Asker::Copy { kept } => {
+                let orders = from_cbor::<CheckinAnswer>(&body).map_or(Vec::new(), |a| a.orders);
+                // A new leader cannot know that the first report it gets is a copy; but it may not
+                // launch before it knows that the machine hears it.
+                let some = |o: &Order| !kept || o.verb == "launch";
+                if status == 200 && orders.iter().any(some) {
                     return Err("the late copy of a report is answered with commands".into());
                 }
             }
@@ -1120,8 +1165,12 @@
                 }
             }
             Asker::Peer(caller) => {
+                let mut body = body;
                 if status == 200 {
                     production::check_peer_answer(&body)?;
+                    if self.old.contains(&node) || self.old.contains(&caller.node) {
+                        body = production::known_of_peer_answer(&body).unwrap_or(body);
+                    }
                 }
                 if self.arrival(node, "peers", MS).is_some() {
                     self.reply(caller, "peers", MS, status, body);
@@ -1275,6 +1324,12 @@
         if m.gone || !m.up || now < m.deaf_until.max(m.cut_until) {
             return Ok(());
         }
+        if self.lose_direct(caller, &name, body) {
+            return Ok(());
+        }
+        let Some(m) = self.machines.get_mut(&name) else {
+            return Ok(());
+        };
         if now < m.hangs_until {
             // Carried out when the machine resumes.
             let at = m.hangs_until + MS;
@@ -1355,10 +1410,14 @@
         for shard in done {
             if let Some((job, _)) = shard.rsplit_once('/') {
                 if let Some(seen) = self.jobs.get_mut(job) {
-                    seen.completed.insert(shard);
+                    seen.completed.insert(shard.clone());
                 }
+                self.job_ends(job);
             }
         }
+        let Some(m) = self.machines.get_mut(name) else {
+            return Ok(());
+        };
         if now < m.hangs_until {
             return Ok(());
         }
@@ -1385,6 +1444,11 @@
         if now < m.next_report {
             return Ok(());
         }
+        if now < m.mute_until {
+            m.node = (m.node + 1) % self.slots.len();
+            m.next_report = now + S;
+            return Ok(());
+        }
         self.seq += 1;
         let flight = self.seq;
         m.in_flight = Some((flight, now, m.tenure));
@@ -1392,7 +1456,7 @@
         m.next_report = now + self.settings.report;
         m.told_warrant = m.warrant;
         let body = to_cbor(&m.report(now));
-        let (node, copied, cut_until) = (m.node, m.copied, m.cut_until);
+        let (node, cut_until) = (m.node, m.cut_until);
         let asker = Asker::Worker {
             machine: name.into(),
             flight,
@@ -1409,9 +1473,7 @@
             let copy = ev(body.clone());
             self.push(now + late, copy);
         }
-        if now < copied.0 {
-            self.push(now + copied.1, Ev::Copy(body.clone()));
-        }
+        self.copy_report(name, &body);
         if now < cut_until {
             return Ok(());
         }
@@ -1519,15 +1581,22 @@
 
     fn script(&mut self, line: Line) -> Result<(), String> {
         let now = self.now;
+        if self.trouble(&line)? {
+            return Ok(());
+        }
         match line.word(0)? {
             "submit" => {
                 let job = line.word(1)?.to_string();
                 if !self.jobs.contains_key(&job) {
                     self.add_job(&job, &line)?;
                 }
-                self.submit(&job);
+                let node = self.node_asked(&line)?;
+                self.submit(&job, node);
+            }
+            "cancel" => {
+                let node = self.node_asked(&line)?;
+                self.cancel(line.word(1)?, node);
             }
-            "cancel" => self.cancel(line.word(1)?),
             "expect" => {
                 let (job, status) = (line.word(1)?.to_string(), line.word(2)?.to_string());
                 for n in self.up_nodes() {
@@ -1634,7 +1703,9 @@
                             self.push(now + MS, Ev::Answered(asker, n, 0, Vec::new()));
                         }
                     }
-                    self.push(now + line.time("for", 4.0)?, Ev::Start(n));
+                    let back = now + line.time("for", 4.0)?;
+                    self.slots[n].down_until = back;
+                    self.push(back, Ev::Start(n));
                 }
             }
             "cut" => {
@@ -1665,32 +1736,13 @@
                 self.push(now + line.time("for", 10.0)?, Ev::CloudUp);
             }
             "trap" => self.trap_page_write = true,
-            "late" => match line.word(1)? {
-                "txn" => self.late_txn = Some(line.time("for", 10.0)?),
-                _ => {
-                    let name = line.word(2)?.to_string();
-                    self.late_report.insert(name, line.time("for", 10.0)?);
-                }
-            },
+            "late" => {
+                let name = line.word(2)?.to_string();
+                self.late_report.insert(name, line.time("for", 10.0)?);
+            }
             "lose" => {
                 self.lose_answer.insert(line.word(2)?.into());
             }
-            "hang" => {
-                let until = now + line.time("for", 5.0)?;
-                self.machine_mut(line.word(1)?)?.hangs_until = until;
-            }
-            "unplug" => {
-                let until = now + line.time("for", 30.0)?;
-                self.machine_mut(line.word(1)?)?.cut_until = until;
-            }
-            "deaf" => {
-                let until = now + line.time("for", 30.0)?;
-                self.machine_mut(line.word(1)?)?.deaf_until = until;
-            }
-            "copies" => {
-                let copied = (now + line.time("for", 10.0)?, line.time("late", 10.0)?);
-                self.machine_mut(line.word(1)?)?.copied = copied;
-            }
             "restart" => {
                 // A new session is a change, which is reported at once.
                 let m = self.machine_mut(line.word(1)?)?;
@@ -1778,6 +1830,7 @@
             spec,
             accepted: false,
             cancelled_at: None,
+            cancel_asked: None,
             done: false,
             completed: BTreeSet::new(),
             starts: 0,
--- /dev/null
+++ b/crates/testkit/src/world/troubles.rs
@@ -0,0 +1,423 @@
+//! Troubles that a scenario can make: late transactions, copies of reports, silent machines, users
+//! who cancel and ask at bad moments.
+
+use super::*;
+use grebewood_wire::http::Report;
+
+/// What happens to a transaction whose answer is lost.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LateTxn {
+    /// It is carried out this much later, or at once.
+    late: Micros,
+    at_once: bool,
+}
+
+/// For a time, every so many-th transaction of any node meets this.
+struct LateTxns {
+    until: Micros,
+    every: u64,
+    count: u64,
+    how: LateTxn,
+}
+
+/// Copies of a machine's reports.
+#[derive(Clone, Copy, Debug)]
+struct Copies {
+    until: Micros,
+    late: Micros,
+    /// The newest one is kept for the next leader.
+    next: bool,
+    /// They go to every controller that is up, not just to the leader.
+    to_all: bool,
+}
+
+/// The copy of a report that is kept for the next leader.
+struct Kept {
+    to_all: bool,
+    body: Vec<u8>,
+}
+
+/// What is under way.
+#[derive(Default)]
+pub(super) struct Troubles {
+    /// What the next transaction of a node meets, or (none) that of whoever leads then.
+    late_txn: BTreeMap<Option<usize>, LateTxn>,
+    late_txns: Option<LateTxns>,
+    /// By machine; none: every machine.
+    copies: BTreeMap<Option<String>, Copies>,
+    kept: BTreeMap<String, Kept>,
+    /// The highest token under which a node has led.
+    highest: u64,
+    /// Copies that arrived at a node that led with a token newer than that of the copy.
+    copied: u64,
+    /// Until when direct commands to a machine are carried out late, by how much.
+    lost_direct: BTreeMap<String, (Micros, Micros)>,
+    /// Until when jobs are cancelled as they end, and how long after.
+    cancel_at_end: (Micros, Micros),
+    looks_until: Micros,
+    /// What was looked at already: each thing once a job.
+    looked: BTreeSet<(String, &'static str)>,
+    slow_state: (Micros, Micros),
+    /// The next node that confirms a cancellation crashes for so long.
+    trap_confirm: Option<Micros>,
+}
+
+/// A job that is cancelled in the middle of its work has at least so long to go.
+const LONG_TO_GO: Micros = 20 * S;
+/// Users cancel jobs in the middle of their work within this time.
+const CANCEL_WITHIN: Micros = 200 * MS;
+/// So many machines of cancelled jobs hang at most.
+const MOST_HANG: usize = 8;
+/// When users look closely after something was said of a job.
+const LOOKS: [Micros; 4] = [MS, 5 * MS, 20 * MS, 60 * MS];
+
+impl World {
+    /// Makes a trouble of the script, if it is one of these.
+    pub(super) fn trouble(&mut self, line: &Line) -> Result<bool, String> {
+        let now = self.now;
+        match (line.word(0)?, line.words.get(1).map_or("", String::as_str)) {
+            ("late", "txn") => {
+                let node = match line.options.get("node").map(String::as_str) {
+                    None | Some("leader") => None,
+                    Some(word) => Some(self.node_named(word)?),
+                };
+                let how = LateTxn {
+                    late: line.time("for", 10.0)?,
+                    at_once: line.yes("at_once", false),
+                };
+                self.troubles.late_txn.insert(node, how);
+            }
+            ("late", "txns") => {
+                let how = LateTxn {
+                    late: line.time("late", 8.0)?,
+                    at_once: line.yes("at_once", false),
+                };
+                self.troubles.late_txns = Some(LateTxns {
+                    until: now + line.time("for", 20.0)?,
+                    every: (line.number("every", 3.0)? as u64).max(1),
+                    count: 0,
+                    how,
+                });
+            }
+            ("copies", machine) => {
+                let copies = Copies {
+                    until: now + line.time("for", 10.0)?,
+                    late: line.time("late", 10.0)?,
+                    next: line.yes("next", false),
+                    to_all: line.text("to", "leader") == "all",
+                };
+                let machine = match machine {
+                    "all" => None,
+                    name => Some(self.machine_mut(name)?.name.clone()),
+                };
+                self.troubles.copies.insert(machine, copies);
+            }
+            ("copied", least) => {
+                let least: u64 = least.parse().map_err(|_| "no number".to_string())?;
+                if self.troubles.copied < least {
+                    return Err(format!(
+                        "{} copies met a newer leader, not {least}",
+                        self.troubles.copied
+                    ));
+                }
+            }
+            ("mute" | "deaf" | "unplug" | "hang", _) => {
+                let default = if line.word(0)? == "hang" { 5.0 } else { 30.0 };
+                let until = now + line.time("for", default)?;
+                for name in self.machines_of(line)? {
+                    let m = self.machine_mut(&name)?;
+                    match line.word(0)? {
+                        "mute" => m.mute_until = until,
+                        "deaf" => m.deaf_until = until,
+                        "unplug" => m.cut_until = until,
+                        _ => m.hangs_until = until,
+                    }
+                }
+            }
+            ("lose", "direct") => {
+                let line = Line {
+                    words: line.words[1..].to_vec(),
+                    ..line.clone()
+                };
+                let lost = (now + line.time("for", 10.0)?, line.time("late", 6.0)?);
+                for name in self.machines_of(&line)? {
+                    self.troubles.lost_direct.insert(name, lost);
+                }
+            }
+            ("cancel_now", most) => {
+                let most = most.parse().map_err(|_| "no number".to_string())?;
+                self.cancel_now(most, line.time("hang", 0.0)?)?;
+            }
+            ("cancel_at_end", _) => {
+                let until = now + line.time("for", 20.0)?;
+                self.troubles.cancel_at_end = (until, line.time("after", 0.0)?);
+            }
+            ("looks", _) => self.troubles.looks_until = now + line.time("for", 20.0)?,
+            ("slow", "state") => {
+                let until = now + line.time("for", 20.0)?;
+                self.troubles.slow_state = (until, line.time("by", 0.8)?);
+            }
+            ("trap", "confirm") => {
+                self.troubles.trap_confirm = Some(line.time("for", 0.3)?);
+            }
+            _ => return Ok(false),
+        }
+        Ok(true)
+    }
+
+    /// The machines that a line names: one, all, or those that hold a task of a job (`of=JOB`).
+    fn machines_of(&self, line: &Line) -> Result<Vec<String>, String> {
+        let names = |holds: &dyn Fn(&Machine) -> bool| -> Vec<String> {
+            let there = self.machines.values().filter(|m| !m.gone && holds(m));
+            there.map(|m| m.name.clone()).collect()
+        };
+        if let Some(job) = line.options.get("of") {
+            let prefix = format!("{job}/");
+            let names = names(&|m| m.live().any(|t| t.shard.starts_with(&prefix)));
+            return match names.is_empty() {
+                true => Err(format!("no machine holds a task of {job}")),
+                false => Ok(names),
+            };
+        }
+        match line.word(1)? {
+            "all" => Ok(names(&|_| true)),
+            name if self.machines.contains_key(name) => Ok(vec![name.into()]),
+            name => Err(format!("{name}: no such machine")),
+        }
+    }
+
+    /// A node by its name, or `other`: one that is up and does not lead.
+    pub(super) fn node_asked(&self, line: &Line) -> Result<Option<usize>, String> {
+        match line.options.get("node").map(String::as_str) {
+            None => Ok(None),
+            Some("other") => {
+                let other = self.up_nodes().into_iter().find(|n| !self.leads(*n));
+                other.map(Some).ok_or("no other node is up".into())
+            }
+            Some(word) => self.node_named(word).map(Some),
+        }
+    }
+
+    // ---- the state service ----
+
+    /// Sends a transaction whose answer is lost, if this one's is; no: it goes its usual way.
+    pub(super) fn lose_txn(&mut self, n: usize, at: Micros, call: &grebewood_core::Call) -> bool {
+        let (now, leads) = (self.now, self.leads(n));
+        let t = &mut self.troubles;
+        let mut how = t.late_txn.remove(&Some(n));
+        if how.is_none() && leads {
+            how = t.late_txn.remove(&None);
+        }
+        if let (None, Some(many)) = (how, &mut t.late_txns) {
+            if now < many.until {
+                many.count += 1;
+                how = (many.count % many.every == 0).then_some(many.how);
+            }
+        }
+        let Some(how) = how else { return false };
+        // Its answer reaches nobody.
+        let nobody = Caller {
+            node: n,
+            process: 0,
+            call: call.id,
+        };
+        let at = if how.at_once { at } else { at + how.late };
+        let ev = Ev::State(nobody, call.method, call.path.clone(), call.body.clone());
+        self.push(at, ev);
+        true
+    }
+
+    /// How much longer the state service takes to answer.
+    pub(super) fn state_lag(&self) -> Micros {
+        let (until, by) = self.troubles.slow_state;
+        if self.now < until {
+            by
+        } else {
+            0
+        }
+    }
+
+    // ---- machines ----
+
+    /// A machine sends a report: a copy of it may arrive late, or be kept for the next leader.
+    pub(super) fn copy_report(&mut self, name: &str, body: &[u8]) {
+        let now = self.now;
+        let t = &self.troubles;
+        let one = t.copies.get(&Some(name.to_string()));
+        let all = t.copies.get(&None);
+        let running: Vec<Copies> = one
+            .into_iter()
+            .chain(all)
+            .filter(|c| now < c.until)
+            .copied()
+            .collect();
+        for c in running {
+            let (to_all, body) = (c.to_all, body.to_vec());
+            if c.next {
+                let kept = Kept { to_all, body };
+                self.troubles.kept.insert(name.into(), kept);
+            } else {
+                self.push(now + c.late, Ev::Copy { body, to_all });
+            }
+        }
+    }
+
+    /// A late copy arrives at whoever leads, or at every node that is up.
+    pub(super) fn copy_arrives(&mut self, body: Vec<u8>, to_all: bool) {
+        let nodes = match to_all {
+            true => self.up_nodes(),
+            false => (0..self.slots.len()).filter(|n| self.leads(*n)).collect(),
+        };
+        for node in nodes {
+            let asker = Asker::Copy { kept: false };
+            self.ask(node, "POST", "/checkin".into(), body.clone(), asker);
+        }
+    }
+
+    /// A node has made a step: if it has a new grant, what was kept for it arrives at once.
+    pub(super) fn deliver_kept(&mut self, n: usize) {
+        let node = self.slots[n].node.as_ref();
+        let token = node.and_then(|n| n.lead.as_ref()).map_or(0, |l| l.token);
+        if token <= self.troubles.highest {
+            return;
+        }
+        self.troubles.highest = token;
+        let up = self.up_nodes();
+        for (_, kept) in std::mem::take(&mut self.troubles.kept) {
+            let nodes = if kept.to_all { up.clone() } else { vec![n] };
+            for node in nodes {
+                let ev = Ev::Request {
+                    node,
+                    door: Door::Front,
+                    method: "POST".into(),
+                    path: "/checkin".into(),
+                    body: kept.body.clone(),
+                    asker: Asker::Copy { kept: true },
+                };
+                self.push(self.now, ev);
+            }
+        }
+    }
+
+    /// Counts a copy that arrives at a node that leads with a token newer than that of the copy.
+    pub(super) fn count_copy(&mut self, n: usize, body: &[u8]) {
+        let node = self.slots[n].node.as_ref();
+        let token = node.and_then(|n| n.lead.as_ref()).map_or(0, |l| l.token);
+        if from_cbor::<Report>(body).is_ok_and(|r| r.warrant < token) {
+            self.troubles.copied += 1;
+        }
+    }
+
+    /// A direct command arrives: if it is to be lost, it is carried out late and answered to nobody.
+    pub(super) fn lose_direct(&mut self, caller: Caller, name: &str, body: &[u8]) -> bool {
+        let Some((until, late)) = self.troubles.lost_direct.get(name).copied() else {
+            return false;
+        };
+        if caller.process == 0 || self.now >= until {
+            return false;
+        }
+        let nobody = Caller {
+            process: 0,
+            ..caller
+        };
+        let ev = Ev::Worker(nobody, format!("worker:{name}"), body.to_vec());
+        self.push(self.now + late, ev);
+        true
+    }
+
+    // ---- users ----
+
+    /// Users cancel jobs that run and have long to go; some of their machines hang from now on.
+    fn cancel_now(&mut self, most: usize, hang: Micros) -> Result<(), String> {
+        let now = self.now;
+        let live = |j: &JobSeen| j.accepted && !j.done && j.cancel_asked.is_none();
+        let long = |job: &str| {
+            let prefix = format!("{job}/");
+            let machines = self.machines.values().filter(|m| m.up && !m.gone);
+            let mut tasks = machines.flat_map(|m| m.live());
+            tasks.any(|t| {
+                t.status == "running" && t.shard.starts_with(&prefix) && t.ends >= now + LONG_TO_GO
+            })
+        };
+        let jobs: Vec<String> = self
+            .jobs
+            .iter()
+            .filter(|(id, j)| live(j) && long(id))
+            .take(most)
+            .map(|(id, _)| id.clone())
+            .collect();
+        if jobs.is_empty() {
+            return Err("no job runs that has long to go".into());
+        }
+        if hang > 0 {
+            let theirs = |t: &Task| t.shard.rsplit_once('/').map(|(j, _)| j.to_string());
+            let holds = |m: &&mut Machine| {
+                m.live()
+                    .any(|t| theirs(t).is_some_and(|j| jobs.contains(&j)))
+            };
+            let machines = self.machines.values_mut().filter(|m| m.up && !m.gone);
+            for m in machines.filter(holds).take(MOST_HANG) {
+                m.hangs_until = now + hang;
+            }
+        }
+        let apart = CANCEL_WITHIN / jobs.len() as Micros;
+        for (i, job) in jobs.into_iter().enumerate() {
+            self.push(now + i as Micros * apart, Ev::RetryCancel(job));
+        }
+        Ok(())
+    }
+
+    /// The last task of a job has completed: its user may cancel it at that moment, ask about it and
+    /// submit it again at every node.
+    pub(super) fn job_ends(&mut self, job: &str) {
+        let (until, after) = self.troubles.cancel_at_end;
+        let complete = |j: &JobSeen| j.completed.len() as u64 == j.spec.shards;
+        let ends = self.jobs.get(job).is_some_and(complete);
+        if ends && self.now < until {
+            self.push(self.now + after, Ev::RetryCancel(job.into()));
+            self.push(self.now + after, Ev::Look(job.into()));
+        }
+    }
+
+    /// Something was said of a job for the first time: users look closely.
+    pub(super) fn look_after(&mut self, job: &str, what: &'static str) {
+        if self.now < self.troubles.looks_until
+            && self.troubles.looked.insert((job.to_string(), what))
+        {
+            for after in LOOKS {
+                self.push(self.now + after, Ev::Look(job.into()));
+            }
+        }
+    }
+
+    /// Users ask about a job at every node that is up, and submit it again there.
+    pub(super) fn look(&mut self, job: &str) {
+        let Some(seen) = self.jobs.get(job) else {
+            return;
+        };
+        let body = to_cbor(&seen.spec);
+        for n in self.up_nodes() {
+            let (poll, again) = (Asker::Poll(job.into()), Asker::Again(job.into()));
+            let path = format!("/submissions/{job}");
+            self.ask(n, "GET", path, Vec::new(), poll);
+            self.ask(n, "POST", "/submissions".into(), body.clone(), again);
+        }
+    }
+
+    /// A node has sent an answer to a user: if it confirms a cancellation, the node may crash now.
+    pub(super) fn confirmed(&mut self, n: usize, asker: &Asker, status: u16, said: &str) {
+        if !matches!(asker, Asker::Cancel(_)) || status != 200 || said != "aborted" {
+            return;
+        }
+        if let Some(down) = self.troubles.trap_confirm.take() {
+            self.untroubled = self.untroubled.max(self.now + down);
+            let seconds = (down as f64 / 1e6).to_string();
+            let line = Line {
+                words: vec!["crash".into(), n.to_string()],
+                options: BTreeMap::from([("for".into(), seconds)]),
+                ..Line::default()
+            };
+            self.push(self.now, Ev::Script(line));
+        }
+    }
+}
--- a/crates/testkit/tests/production.rs
+++ b/crates/testkit/tests/production.rs
@@ -1,6 +1,8 @@
 //! The check of formats against the version in production.
 
-use grebewood_testkit::production::{check_peer_request, check_record};
+use grebewood_testkit::production::{
+    check_peer_request, check_record, known_of_peer_answer, known_of_peer_request,
+};
 use grebewood_wire::http::to_value;
 use grebewood_wire::records::CancelRecord;
 use grebewood_wire::{from_peer, peer, to_peer};
@@ -30,3 +32,43 @@
     let renamed = to_value(&BTreeMap::from([("cancelled_ms", 7)]));
     assert!(check_record("job/req-1/cancel", &renamed).is_err());
 }
+
+/// A node that stands for the version before passes on only what that one knows.
+#[test]
+fn what_production_does_not_know_is_lost() {
+    #[derive(serde::Serialize, serde::Deserialize, Default)]
+    struct Later {
+        member: String,
+        state_contact_age_us: Option<u64>,
+        token: u64,
+        #[serde(default)]
+        load: u64,
+    }
+    #[derive(serde::Serialize, serde::Deserialize)]
+    enum LaterRequest {
+        Contact {
+            from: String,
+            #[serde(default)]
+            load: u64,
+        },
+    }
+    let answer = Later {
+        member: "a".into(),
+        token: 7,
+        load: 5,
+        ..Later::default()
+    };
+    let known = known_of_peer_answer(&to_peer(&answer)).expect("an answer");
+    let known: Later = from_peer(&known).expect("an answer");
+    assert_eq!(
+        (known.member.as_str(), known.token, known.load),
+        ("a", 7, 0)
+    );
+    let request = LaterRequest::Contact {
+        from: "a".into(),
+        load: 5,
+    };
+    let known = known_of_peer_request(&to_peer(&request)).expect("a request");
+    let LaterRequest::Contact { from, load } = from_peer(&known).expect("a request");
+    assert_eq!((from.as_str(), load), ("a", 0));
+}
