Show what a leader does in the gap by scenarios; keep a hung machine's leader in an outage

The stand-in answered open watches of a refused node, which hid the gap: they wait now, as the protocol says.

Found by them: a leader whose only machine with work hung took that for a cut from its workers and resigned in an outage, in which nobody else can lead; a cancelled task there stayed past cancel_s.

--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -376,7 +376,9 @@
         let Some(lead) = self.lead.as_mut() else {
             return;
         };
-        if lead.cut_from_workers(&self.cx) {
+        // Without state nobody else can lead: to step down would only lose what this node knows, as
+        // once when its only machine hung with a cancelled task in an outage.
+        if self.cx.in_contact(2 * SECOND) && lead.cut_from_workers(&self.cx) {
             return self.step_down("no worker reaches this node", true);
         }
         lead.run(&mut self.cx, watch);
--- a/crates/core/src/leadership/contact.rs
+++ b/crates/core/src/leadership/contact.rs
@@ -218,3 +218,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/core/src/leadership/contact/tests.rs
@@ -0,0 +1,155 @@
+use super::*;
+use crate::settings::{Sibling, StateLimits};
+use crate::{Door, Effect, Input, NoStopwatch, Now, Settings, Tuning};
+use grebewood_wire::http::{CheckinAnswer, Order, Report, ShardReport};
+
+const WALL: u64 = 1_700_000_000 * SECOND;
+
+/// A node that has its grant, and has read nothing yet.
+fn unread_leader(now: Micros) -> Node {
+    let settings = Settings {
+        member: "perch-0".into(),
+        zone: "a".into(),
+        siblings: vec![Sibling {
+            member: "perch-1".into(),
+            zone: "a".into(),
+        }],
+        teams: BTreeMap::new(),
+        objectives: Vec::new(),
+        report: 1_500 * MILLI,
+        lease: 10 * SECOND,
+        cancel: 30 * SECOND,
+        state: StateLimits {
+            rps: 100.0,
+            write_rps: 20.0,
+            value_bytes: 4096,
+            txn_ops: 8,
+        },
+        cloud_rps: 8.0,
+        list_lag: 3 * SECOND,
+    };
+    let mut node = Node::new(settings, Tuning::default(), 1);
+    tick(&mut node, now);
+    node.become_leader(7, 1);
+    node
+}
+
+fn clocks(now: Micros) -> Now {
+    Now {
+        steady: now,
+        wall: WALL + now,
+    }
+}
+
+fn tick(node: &mut Node, now: Micros) {
+    node.step(clocks(now), Input::Tick, &mut NoStopwatch);
+}
+
+/// Time passes, in small steps: a long one would be a standstill.
+fn pass(node: &mut Node, from: Micros, to: Micros) {
+    for now in (from..to).step_by(500 * MILLI as usize) {
+        tick(node, now);
+    }
+}
+
+/// What a worker with a task of `req-1` is answered.
+fn check_in(node: &mut Node, now: Micros, tally: u64) -> (u16, Vec<Order>) {
+    let report = Report {
+        perch: "n-000001".into(),
+        endpoint: "10.1.0.1:9000".into(),
+        build: "std".into(),
+        yard: "a".into(),
+        loaner: true,
+        tenure: 1,
+        tally,
+        warrant: 3,
+        recall_s: None,
+        shards: vec![ShardReport {
+            shard: "req-1/0".into(),
+            attempt: 5,
+            status: "running".into(),
+            cause: None,
+            saved: None,
+        }],
+    };
+    let input = Input::Request {
+        id: tally,
+        door: Door::Front,
+        method: "POST".into(),
+        path: "/checkin".into(),
+        body: wire::to_cbor(&report),
+    };
+    let effects = node.step(clocks(now), input, &mut NoStopwatch);
+    let answer = effects.into_iter().find_map(|e| match e {
+        Effect::Answer {
+            id, status, body, ..
+        } if id == tally => Some((status, body)),
+        _ => None,
+    });
+    let (status, body) = answer.expect("an answer at once");
+    let orders = wire::from_cbor::<CheckinAnswer>(&body).map(|a| a.orders);
+    (status, orders.unwrap_or_default())
+}
+
+/// A leader that has just started, and could read nothing since, would keep cancelled tasks alive.
+#[test]
+fn a_leader_that_knows_no_cancellations_renews_no_lease() {
+    let mut node = unread_leader(20 * SECOND);
+    assert_eq!(check_in(&mut node, 20 * SECOND, 1).0, 503);
+    node.cx.cancellations.read_as_of(20 * SECOND);
+    pass(&mut node, 20 * SECOND, 21 * SECOND);
+    assert_eq!(check_in(&mut node, 21 * SECOND, 2).0, 200);
+    // Neither state nor its peer has told anything since.
+    let bound = node.blind_bound();
+    assert!(bound + node.cx.settings.lease < node.cx.settings.cancel);
+    let late = 20 * SECOND + bound + MILLI;
+    pass(&mut node, 21 * SECOND, late);
+    assert_eq!(check_in(&mut node, late, 3).0, 503);
+    node.cx.cancellations.covered(0, late, SECOND);
+    assert_eq!(check_in(&mut node, late, 4).0, 200);
+}
+
+#[test]
+fn before_reading_state_it_stops_what_it_knows_to_be_cancelled() {
+    let mut node = unread_leader(20 * SECOND);
+    node.cx.cancellations.read_as_of(20 * SECOND);
+    assert!(check_in(&mut node, 20 * SECOND, 1).1.is_empty());
+    pass(&mut node, 20 * SECOND, 21 * SECOND);
+    node.cx.cancellations.learn("req-1", WALL);
+    let (_, orders) = check_in(&mut node, 21 * SECOND, 2);
+    assert_eq!(orders.len(), 1);
+    let stop = &orders[0];
+    assert_eq!(
+        (stop.verb.as_str(), stop.shard.as_str(), stop.attempt),
+        ("stop", "req-1/0", 5)
+    );
+}
+
+/// An answer counts only from the sibling that was asked, and to this very question.
+#[test]
+fn a_foreign_or_late_answer_makes_nothing_certain() {
+    let answer = |member: &str, question: u64| Outcome::Answer {
+        status: 200,
+        body: wire::to_peer(&PeerAnswer {
+            member: member.into(),
+            state_contact_age_us: None,
+            token: 7,
+            grant: 7,
+            confirmed: Some(grebewood_wire::peer::Confirmed {
+                question,
+                remembers_us: Some(15 * SECOND),
+                jobs: vec![("req-1".into(), SECOND)],
+            }),
+        }),
+    };
+    let mut node = unread_leader(20 * SECOND);
+    node.cx.cancellations.read_as_of(10 * SECOND);
+    let certain = |node: &Node| node.cx.cancellations.certain(1, 20 * SECOND);
+    node.on_contact(0, 5, 19 * SECOND, answer("perch-9", 5));
+    node.on_contact(0, 5, 19 * SECOND, answer("perch-1", 4));
+    assert_eq!(certain(&node), Some(10 * SECOND));
+    assert!(node.cx.cancellations.get("req-1").is_none());
+    node.on_contact(0, 5, 19 * SECOND, answer("perch-1", 5));
+    assert_eq!(certain(&node), Some(19 * SECOND));
+    assert!(node.cx.cancellations.get("req-1").is_some());
+}
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -907,7 +907,15 @@
         }
         self.seq += 1;
         let ticket = self.seq;
-        match self.state.request(self.now, ticket, method, path, body) {
+        let grant = from_cbor::<Txn>(body).is_ok_and(|txn| {
+            let puts = |c: &Change| matches!(c, Change::Put { put, .. } if put == "leader");
+            txn.apply.iter().any(puts)
+        });
+        let reply = self.state.request(self.now, ticket, method, path, body);
+        if grant && matches!(reply, Reply::Now(200, _)) {
+            self.granted();
+        }
+        match reply {
             Reply::Now(status, body) => self.reply(caller, "state", 2 * MS, status, body),
             Reply::Later => {
                 self.state_tickets.insert(ticket, caller);
@@ -1168,6 +1176,7 @@
                 let mut body = body;
                 if status == 200 {
                     production::check_peer_answer(&body)?;
+                    body = self.forge(body);
                     if self.old.contains(&node) || self.old.contains(&caller.node) {
                         body = production::known_of_peer_answer(&body).unwrap_or(body);
                     }
@@ -1355,7 +1364,11 @@
         self.state.expire(now);
         for (ticket, body) in self.state.ready(now) {
             if let Some(caller) = self.state_tickets.remove(&ticket) {
-                self.reply(caller, "state", 2 * MS, 200, body);
+                // The open watches of a node that is refused wait, as in an outage.
+                let refused = self.refused.iter().filter(|(n, _)| *n == caller.node);
+                let until = refused.map(|(_, until)| *until).max().unwrap_or(0);
+                let wait = until.saturating_sub(now);
+                self.reply(caller, "state", wait + 2 * MS, 200, body);
             }
         }
         for n in 0..self.slots.len() {
--- a/crates/testkit/src/world/troubles.rs
+++ b/crates/testkit/src/world/troubles.rs
@@ -3,6 +3,7 @@
 
 use super::*;
 use grebewood_wire::http::Report;
+use grebewood_wire::peer::PeerAnswer;
 
 /// What happens to a transaction whose answer is lost.
 #[derive(Clone, Copy, Debug)]
@@ -60,6 +61,10 @@
     slow_state: (Micros, Micros),
     /// The next node that confirms a cancellation crashes for so long.
     trap_confirm: Option<Micros>,
+    /// The state service is down for so long right after the next grant.
+    trap_grant: Option<Micros>,
+    /// Until then peers' answers list this job as cancelled, which nobody cancelled.
+    forged: Option<(String, Micros)>,
 }
 
 /// A job that is cancelled in the middle of its work has at least so long to go.
@@ -160,6 +165,12 @@
             ("trap", "confirm") => {
                 self.troubles.trap_confirm = Some(line.time("for", 0.3)?);
             }
+            ("trap", "grant") => {
+                self.troubles.trap_grant = Some(line.time("for", 40.0)?);
+            }
+            ("forge", job) => {
+                self.troubles.forged = Some((job.into(), now + line.time("for", 5.0)?));
+            }
             _ => return Ok(false),
         }
         Ok(true)
@@ -227,6 +238,30 @@
         true
     }
 
+    /// A grant was just won: the state service may go down at once.
+    pub(super) fn granted(&mut self) {
+        if let Some(down) = self.troubles.trap_grant.take() {
+            self.untroubled = self.untroubled.max(self.now + down);
+            self.state.down = true;
+            self.push(self.now + down, Ev::StateUp);
+        }
+    }
+
+    /// A peer's answer, with a job in it that nobody cancelled.
+    pub(super) fn forge(&self, body: Vec<u8>) -> Vec<u8> {
+        let forged = self.troubles.forged.as_ref();
+        let Some((job, _)) = forged.filter(|(_, until)| self.now < *until) else {
+            return body;
+        };
+        let Ok(mut answer) = grebewood_wire::from_peer::<PeerAnswer>(&body) else {
+            return body;
+        };
+        if let Some(confirmed) = &mut answer.confirmed {
+            confirmed.jobs.push((job.clone(), 0));
+        }
+        grebewood_wire::to_peer(&answer)
+    }
+
     /// How much longer the state service takes to answer.
     pub(super) fn state_lag(&self) -> Micros {
         let (until, by) = self.troubles.slow_state;
