--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -12,6 +12,8 @@
 //! tuning KEY=VALUE ...                      operators' settings
 //! old NODE ...                              these do not know what is announced, nor more of a peer
 //!                                           message than the version in production: the one before
+//! check waits [for=90]                      once all troubles are over, no job waits so long for a task
+//!                                           while a machine that fits has room and its team may run it
 //! store NAME age=30                         data/NAME.txt: what the version before left in the middle
 //!                                           of its work, 30 s after its start
 //! type NAME cpus=8 mem=32 price=1 spot=0.3 boot=10 cap=4 spotcap=2 zones=a,b
@@ -37,6 +39,9 @@
 //! at 5  upgrade NODE [for=4]                it ends and comes back with the new version
 //! at 5  limits value=2 ops=4 writes=15      the state service's limits change
 //! at 5  busy for=10                         every change of state is answered 429
+//! at 5  no_wait 60                          no job has waited so long that way (needs `check waits`)
+//! at 5  late_starts most=0                  at most so many tasks started whose job was confirmed as
+//!                                           cancelled before; later than `cancel` it is ran_cancelled
 //! at 5  largest most=2                      no value is larger than that (KiB)
 //! at 5  refused most=0                      at most so many transactions were malformed so far
 //! at 5  halves                              at least half of each class, of each team and of each class's
@@ -87,7 +92,8 @@
 //! end 60
 //! ```
 //!
-//! All the while users ask about every job every 5 s. Once all troubles are over, one about which no
+//! All the while users ask about every job every 5 s, and now and then about one that is over or that
+//! nobody submitted. Once all troubles are over, one about which no
 //! question is answered for 75 s is forgotten.
 
 use std::collections::BTreeMap;
