A flush without an answer counts as applied only if all of its keys say so

A leader whose flush got no answer read one of its keys back, and took a new stamp for the proof of the whole batch. Where two flushes in a row had no answer, the stamp may be that of the first one, carried out after the second was sent: the second, which then fails, counted as durable, and assignments that only it listed were launched. A flush that only deletes was taken for applied likewise.

Now each key of the batch is read, one after the other: puts must have a stamp newer than the one their condition named, the same one for all, and the very content of the batch; deleted keys must be absent. Otherwise all their stamps are read anew and the records are written again. A value is compared without regard to the order of a map or the form of a number. Ruled out: a counter in a record of the leader's own, which would take one change of each transaction. A 409 that names no key is treated the same way; it would have been repeated each millisecond.

--- a/crates/core/src/leadership/flush.rs
+++ b/crates/core/src/leadership/flush.rs
@@ -158,9 +158,14 @@
         }
         cx.lead_writes.take(now, txn.apply.len() as f64);
         let pending = self.pending(LeadCall::Flush);
-        let call = cx.post_state("/txn", &txn, pending);
+        cx.post_state("/txn", &txn, pending);
         self.ledger.not_before = now + cx.tuning.flush_interval_us;
-        self.ledger.in_flight = Some(Batch { recs, txn, call });
+        self.ledger.in_flight = Some(Batch {
+            recs,
+            txn,
+            proven: 0,
+            stamp: 0,
+        });
     }
 
     pub(super) fn on_flush(&mut self, cx: &mut Ctx, outcome: Outcome) -> Result<(), String> {
@@ -183,6 +188,12 @@
                 if failed.iter().any(|k| k == LEADER) {
                     return Err("another leader was elected".into());
                 }
+                if failed.is_empty() {
+                    // It does not say which: all of them are read, at a pace that leaves room.
+                    let keys = batch.txn.apply.iter().map(|c| c.key().to_string());
+                    self.ledger.stale.extend(keys);
+                    self.flush_failed(cx);
+                }
                 for key in failed {
                     if let Some(JobKey::Cancelled(id)) = JobKey::parse(&key) {
                         self.on_cancelled(cx, id, None);
@@ -277,56 +288,51 @@
         self.ledger.back_off(cx.now.steady, pause / 2 + jitter);
     }
 
-    /// The outcome of a flush is unknown: looks whether it was applied.
+    /// The outcome of a flush is unknown: looks whether it was applied, one key after the other.
     pub(super) fn read_back(&mut self, cx: &mut Ctx, batch: Batch) {
-        let key = batch
-            .puts()
-            .next()
-            .or_else(|| batch.deletes().next())
-            .map(str::to_string);
-        self.ledger.in_flight = Some(batch);
-        if let Some(key) = key {
-            let pending = self.pending(LeadCall::FlushReadBack);
-            cx.read_key(&key, pending);
+        match batch.txn.apply.get(batch.proven) {
+            Some(change) => {
+                let pending = self.pending(LeadCall::FlushReadBack);
+                cx.read_key(change.key(), pending);
+                self.ledger.in_flight = Some(batch);
+            }
+            None => self.flushed(cx, &batch, batch.stamp),
         }
     }
 
+    /// A flush without an answer was applied if each of its keys is now as it would have it. That
+    /// one of them has a new stamp is no proof: an earlier flush without an answer may have been
+    /// carried out meanwhile, and then this one never will be. What only this one listed was once
+    /// launched, unknown to the next leader.
     pub(super) fn on_read_back(&mut self, cx: &mut Ctx, outcome: Outcome) -> Result<(), String> {
-        let Some(batch) = self.ledger.in_flight.take() else {
+        let Some(mut batch) = self.ledger.in_flight.take() else {
             return Ok(());
         };
-        let put_key = batch.puts().next().map(str::to_string);
-        let known = put_key
-            .as_ref()
-            .and_then(|k| self.ledger.stamps.get(k).copied())
-            .unwrap_or(0);
-        match outcome {
-            Outcome::Answer { status: 200, body } => {
-                let stamp = wire::from_cbor::<Entry<Value>>(&body)
+        let proven = match (batch.txn.apply.get(batch.proven), outcome) {
+            (Some(Change::Put { put, value, .. }), Outcome::Answer { status: 200, body }) => {
+                let known = self.ledger.stamps.get(put).copied().unwrap_or(0);
+                wire::from_cbor::<Entry<Value>>(&body)
+                    .ok()
+                    .filter(|e| e.stamp > known && wire::same_value(&e.value, value))
+                    // All changes of a transaction have the same stamp.
+                    .filter(|e| batch.stamp == 0 || batch.stamp == e.stamp)
                     .map(|e| e.stamp)
-                    .unwrap_or(0);
-                // We alone write this key, so a new stamp is that of the batch: all its changes
-                // have the same.
-                if put_key.is_some() && stamp > known {
-                    self.flushed(cx, &batch, stamp);
-                } else {
-                    self.flush_failed(cx);
-                }
             }
-            Outcome::Answer { status: 404, .. } if put_key.is_none() => {
-                self.flushed(cx, &batch, 0);
+            (Some(Change::Delete { .. }), Outcome::Answer { status: 404, .. }) => Some(batch.stamp),
+            _ => None,
+        };
+        match proven {
+            Some(stamp) => {
+                batch.stamp = stamp;
+                batch.proven += 1;
+                self.read_back(cx, batch);
             }
-            Outcome::Answer { status: 404, .. } => self.flush_failed(cx),
-            _ => {
-                // Still no contact: ask again after a pause, with the batch kept.
+            None => {
+                // Not applied so far, or it cannot be told. It is written anew; its keys' stamps
+                // are read before that, since one of an earlier flush may have come in between.
+                let keys = batch.txn.apply.iter().map(|c| c.key().to_string());
+                self.ledger.stale.extend(keys);
                 self.flush_failed(cx);
-                self.ledger.stale.extend(
-                    batch
-                        .puts()
-                        .chain(batch.deletes())
-                        .map(str::to_string)
-                        .collect::<Vec<_>>(),
-                );
             }
         }
         Ok(())
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -57,8 +57,10 @@
 pub struct Batch {
     pub recs: Vec<(Rec, u64)>,
     pub txn: Txn,
-    /// The call that carries it.
-    pub call: u64,
+    /// After a flush without an answer: how many of its changes were found carried out, and their
+    /// stamp, once one of them is known to have it.
+    pub proven: usize,
+    pub stamp: u64,
 }
 
 impl Batch {
--- a/crates/core/tests/ledger.rs
+++ b/crates/core/tests/ledger.rs
@@ -7,7 +7,8 @@
     Batch {
         recs: recs.to_vec(),
         txn: Txn::default(),
-        call: 1,
+        proven: 0,
+        stamp: 0,
     }
 }
 
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -244,6 +244,16 @@
     },
 }
 
+impl Change {
+    /// The key that it changes.
+    pub fn key(&self) -> &str {
+        match self {
+            Change::Put { put, .. } => put,
+            Change::Delete { delete } => delete,
+        }
+    }
+}
+
 /// Body of `POST /txn`.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Txn {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -74,6 +74,28 @@
     }
 }
 
+/// Whether two values say the same: the order of a map's entries and the form of a number do not
+/// count.
+pub fn same_value(a: &Value, b: &Value) -> bool {
+    match (a, b) {
+        (Value::Map(a), Value::Map(b)) => {
+            let among = |(key, value): &(Value, Value), others: &[(Value, Value)]| {
+                others
+                    .iter()
+                    .any(|(k, v)| same_value(k, key) && same_value(v, value))
+            };
+            a.len() == b.len() && a.iter().all(|item| among(item, b))
+        }
+        (Value::Array(a), Value::Array(b)) => {
+            a.len() == b.len() && a.iter().zip(b).all(|(a, b)| same_value(a, b))
+        }
+        (Value::Float(x), Value::Integer(i)) | (Value::Integer(i), Value::Float(x)) => {
+            i128::from(*i) as f64 == *x
+        }
+        (a, b) => a == b,
+    }
+}
+
 /// Reads a message of another controller.
 pub fn from_peer<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, DecodeError> {
     rmp_serde::from_slice(bytes).map_err(|e| DecodeError(format!("not a peer message: {e}")))
