A repeat of an accepted job is answered 200 also if it lacks a field or has an invalid one

Now the id is read first; a body whose id has the form of one is looked up at the node's view and under past/, and gets its 400 only if the job is not known. A body that names no job gets 400 at once as before. What can never run was looked up already.

A submission of a job that the view shows as live is answered from the view: it was accepted, and a repeat costs no write of the state service's rate any more.

--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -21,6 +21,9 @@
 #[derive(Clone, Debug)]
 pub enum Ask {
     Submit(Box<Submission>),
+    /// A submission that lacks a field or has an invalid one, and why: refused, unless it repeats
+    /// that of an accepted job.
+    Malformed(String),
     Poll,
     Cancel,
 }
@@ -87,14 +90,10 @@
 
 impl Node {
     pub(crate) fn on_submission(&mut self, id: u64, body: &[u8]) {
-        let submission: Submission = match wire::from_cbor(body) {
-            Ok(s) => s,
-            Err(e) => return self.cx.refuse(id, 400, &e.to_string()),
+        let (job, submission) = match read_submission(body) {
+            Ok(read) => read,
+            Err(why) => return self.cx.refuse(id, 400, &why),
         };
-        if let Err(Refused::Invalid(why)) = check_fields(&submission) {
-            return self.cx.refuse(id, 400, &why);
-        }
-        let job = submission.uid.clone();
         if let Some(past) = self.past.get(&job) {
             let accepted = Accepted {
                 uid: job,
@@ -102,12 +101,18 @@
             };
             return self.cx.answer(id, 200, &accepted);
         }
-        let Some(catalogue) = &self.cx.catalogue else {
-            return self.cx.refuse(id, 503, "machine types are not known yet");
+        // A repeated submission of an accepted job must get neither 422 nor 400, whatever it says now
+        // and whatever the limits were when it was accepted: it is looked up before it is refused.
+        let (ask, possible) = match submission {
+            Err(why) => (Ask::Malformed(why), false),
+            Ok(submission) => {
+                let Some(catalogue) = &self.cx.catalogue else {
+                    return self.cx.refuse(id, 503, "machine types are not known yet");
+                };
+                let possible = acceptable(&submission, &self.cx.settings, catalogue).is_ok();
+                (Ask::Submit(Box::new(submission)), possible)
+            }
         };
-        // A repeated submission of an accepted job must get neither 422 nor 400, though the limits
-        // may have been larger when it was accepted: it is looked up before it is refused.
-        let possible = acceptable(&submission, &self.cx.settings, catalogue).is_ok();
         if !self.cx.in_contact(crate::node::CONTACT_SPAN) {
             return self.cx.refuse(id, 503, "no contact with the state service");
         }
@@ -115,14 +120,15 @@
         let mut call = UserCall {
             request: id,
             job,
-            ask: Ask::Submit(Box::new(submission)),
+            ask,
             stage: Stage::Accept,
             arrived: now,
             live: None,
             doubtful: false,
             rounds: 0,
         };
-        if !possible {
+        // One that was accepted costs no write, however often it is repeated.
+        if !possible || self.view.get(&call.job).is_some() {
             call.stage = Stage::View;
             return self.user_send(call);
         }
@@ -296,7 +302,8 @@
                 }
             }
             Ask::Submit(_) => self.cx.refuse(call.request, 503, "not accepted yet"),
-            _ => self.cx.refuse(call.request, 404, "no such job"),
+            Ask::Malformed(why) => self.cx.refuse(call.request, 400, why),
+            Ask::Poll | Ask::Cancel => self.cx.refuse(call.request, 404, "no such job"),
         }
     }
 
@@ -309,7 +316,7 @@
         .unwrap_or((0, 0));
         let status = if running > 0 { "running" } else { "pending" };
         match call.ask {
-            Ask::Submit(_) => {
+            Ask::Submit(_) | Ask::Malformed(_) => {
                 let accepted = Accepted {
                     uid: call.job,
                     status: status.into(),
@@ -373,6 +380,27 @@
     }
 }
 
+/// Reads a submission: its job and the rest of it, or what is wrong with the rest. The error says
+/// why it names no job either.
+#[allow(clippy::type_complexity)]
+fn read_submission(body: &[u8]) -> Result<(String, Result<Submission, String>), String> {
+    let map: wire::Value = wire::from_cbor(body).map_err(|e| e.to_string())?;
+    let items = map.as_map().ok_or("not a map")?;
+    let uid = items.iter().find(|(key, _)| key.as_text() == Some("uid"));
+    let uid = uid.and_then(|(_, uid)| uid.as_text()).unwrap_or_default();
+    if !valid_id(uid) {
+        return Err("uid: not of the form req-000000".into());
+    }
+    let submission = match wire::from_cbor::<Submission>(body) {
+        Err(e) => Err(e.to_string()),
+        Ok(s) => match check_fields(&s) {
+            Err(Refused::Invalid(why) | Refused::Impossible(why)) => Err(why),
+            Ok(()) => Ok(s),
+        },
+    };
+    Ok((uid.to_string(), submission))
+}
+
 /// Whether a job that is not known yet can be accepted: its record can be kept, and it can run.
 fn acceptable(
     s: &Submission,
--- /dev/null
+++ b/crates/core/tests/odd_submissions.rs
@@ -0,0 +1,233 @@
+//! What a submission may hold, field by field.
+
+use grebewood_core::jobs::{check_fields, check_possible, Refused};
+use grebewood_core::settings::StateLimits;
+use grebewood_core::{Settings, Team, SECOND};
+use grebewood_wire::http::{MachineType, Submission};
+use grebewood_wire::{from_cbor, to_cbor, Value};
+use std::collections::BTreeMap;
+
+type Map = BTreeMap<String, Value>;
+
+fn good() -> Map {
+    let text = |s: &str| Value::from(s);
+    let fields = [
+        ("uid", text("req-000412")),
+        ("workclass", text("train")),
+        ("owner", text("vision")),
+        ("shape", text("batch")),
+        ("precedence", text("high")),
+        ("shards", Value::from(16)),
+        ("vcpus", Value::from(8.0)),
+        ("accelerators", Value::from(1.0)),
+        ("memory_gb", Value::from(64.0)),
+        ("bundle", text("img-07")),
+        ("pull_gb", Value::from(6.2)),
+        ("builds", Value::Array(vec![text("g8")])),
+        ("yard", Value::Null),
+        ("one_zone", Value::from(true)),
+        ("spread", Value::from(false)),
+        ("loaner", Value::from(true)),
+        ("expected_s", Value::from(240.0)),
+        ("savepoint_s", Value::from(30.0)),
+        ("flush_s", Value::from(4.0)),
+        ("due_s", Value::from(900.0)),
+    ];
+    fields.map(|(k, v)| (k.to_string(), v)).into()
+}
+
+fn with(field: &str, value: Value) -> Map {
+    let mut map = good();
+    map.insert(field.into(), value);
+    map
+}
+
+/// Whether it is taken, as far as its fields go.
+fn taken(map: &Map) -> bool {
+    from_cbor::<Submission>(&to_cbor(map)).is_ok_and(|s| check_fields(&s).is_ok())
+}
+
+#[test]
+fn each_field_but_those_that_may_be_null_has_to_be_there() {
+    assert!(taken(&good()));
+    for field in good().keys() {
+        let may_be_null = ["builds", "yard", "due_s"].contains(&field.as_str());
+        let mut map = good();
+        map.remove(field);
+        assert_eq!(taken(&map), may_be_null, "without {field}");
+        assert_eq!(
+            taken(&with(field, Value::Null)),
+            may_be_null,
+            "{field}: null"
+        );
+    }
+}
+
+#[test]
+fn a_field_of_another_type_is_invalid() {
+    let items = |v: Value| Value::Map(vec![(v, Value::Null)]);
+    for (field, value) in good() {
+        let others = [
+            Value::from("x"),
+            Value::from(true),
+            Value::from(-1),
+            Value::Array(vec![Value::from(1)]),
+            items(value.clone()),
+            Value::Bytes(vec![1]),
+        ];
+        for other in others {
+            let same = match (&value, &other) {
+                (Value::Text(_), Value::Text(_)) => {
+                    // Names are any text.
+                    ["workclass", "owner", "bundle"].contains(&field.as_str())
+                }
+                (Value::Null, Value::Text(_)) => true,
+                (Value::Bool(_), Value::Bool(_)) => true,
+                _ => false,
+            };
+            assert_eq!(
+                taken(&with(&field, other.clone())),
+                same,
+                "{field}: {other:?}"
+            );
+        }
+    }
+    for field in ["shards", "uid", "shape", "precedence", "owner", "one_zone"] {
+        assert!(!taken(&with(field, Value::from(4.5))), "{field}: 4.5");
+    }
+}
+
+#[test]
+fn amounts_are_finite_and_not_negative() {
+    let amounts = [
+        "vcpus",
+        "accelerators",
+        "memory_gb",
+        "pull_gb",
+        "expected_s",
+    ];
+    for field in amounts
+        .into_iter()
+        .chain(["savepoint_s", "flush_s", "due_s"])
+    {
+        for bad in [-0.5, f64::NAN, f64::INFINITY, f64::NEG_INFINITY, 1e300] {
+            assert!(!taken(&with(field, Value::from(bad))), "{field}: {bad}");
+        }
+        for fine in [Value::from(0.0), Value::from(4), Value::from(4.0)] {
+            assert!(taken(&with(field, fine.clone())), "{field}: {fine:?}");
+        }
+    }
+}
+
+#[test]
+fn counts_names_and_ids_are_within_their_bounds() {
+    let huge = Value::from(u64::MAX);
+    for bad in [Value::from(0), Value::from(100_001), huge] {
+        assert!(!taken(&with("shards", bad.clone())), "{bad:?}");
+    }
+    assert!(taken(&with("shards", Value::from(100_000))));
+    let ids = [
+        "", "req-", "req-1 ", " req-1", "req 1", "req-1x", "REQ-1", "req--1", "job-1", "req-1/2",
+    ];
+    for bad in ids.into_iter().chain(["req-+1", "req-\u{661}", "req-1\n"]) {
+        assert!(!taken(&with("uid", Value::from(bad))), "{bad:?}");
+    }
+    for field in ["workclass", "owner", "bundle", "yard"] {
+        for bad in [String::new(), "x".repeat(200)] {
+            assert!(
+                !taken(&with(field, Value::from(bad.clone()))),
+                "{field}: {bad}"
+            );
+        }
+    }
+    for (field, bad) in [
+        ("shape", "gangs"),
+        ("precedence", "urgent"),
+        ("precedence", "High"),
+    ] {
+        assert!(!taken(&with(field, Value::from(bad))), "{field}: {bad}");
+    }
+    let names = |names: &[&str]| Value::Array(names.iter().map(|n| Value::from(*n)).collect());
+    assert!(!taken(&with("builds", names(&["g8", ""]))));
+    assert!(!taken(&with("builds", Value::from("g8"))));
+}
+
+#[test]
+fn what_is_no_map_is_no_submission() {
+    let fields: Vec<Value> = good().into_values().collect();
+    for body in [
+        to_cbor(&fields),
+        to_cbor(&Value::from(7)),
+        to_cbor(&Value::Null),
+        Vec::new(),
+        vec![0xff],
+        [to_cbor(&good()), vec![0]].concat(),
+        to_cbor(&good())[..20].to_vec(),
+    ] {
+        assert!(from_cbor::<Submission>(&body).is_err(), "{body:?}");
+    }
+}
+
+/// Names that nobody knows are no matter of form: such a job can never run.
+#[test]
+fn unknown_names_and_too_much_can_never_run() {
+    let team = Team {
+        cpus: 16.0,
+        cpus_max: 32.0,
+        gpus: 0.0,
+        gpus_max: 8.0,
+    };
+    let settings = Settings {
+        member: "perch-0".into(),
+        zone: "a".into(),
+        siblings: Vec::new(),
+        teams: [("vision".to_string(), team)].into(),
+        objectives: Vec::new(),
+        report: SECOND,
+        lease: 10 * SECOND,
+        cancel: 30 * SECOND,
+        state: StateLimits {
+            rps: 100.0,
+            write_rps: 20.0,
+            value_bytes: 4096,
+            txn_ops: 8,
+        },
+        cloud_rps: 8.0,
+        list_lag: 3 * SECOND,
+    };
+    let kind = MachineType {
+        name: "g8".into(),
+        vcpus: 96.0,
+        accelerators: 8.0,
+        memory_gb: 768.0,
+        local_gb: None,
+        fetch_gb_per_s: None,
+        price: 12.0,
+        spot_price: None,
+        startup_s: 45.0,
+        yards: vec!["a".into()],
+    };
+    let possible = |map: &Map| {
+        let s: Submission = from_cbor(&to_cbor(map)).expect("a submission");
+        assert_eq!(check_fields(&s), Ok(()));
+        match check_possible(&s, &settings, std::slice::from_ref(&kind)) {
+            Ok(()) => true,
+            Err(Refused::Impossible(_)) => false,
+            Err(other) => panic!("{other:?}"),
+        }
+    };
+    assert!(possible(&good()));
+    for (field, value) in [
+        ("owner", Value::from("nobody")),
+        ("yard", Value::from("z")),
+        ("builds", Value::Array(vec![Value::from("h9")])),
+        ("builds", Value::Array(Vec::new())),
+        ("vcpus", Value::from(33.0)),
+        ("vcpus", Value::from(97.0)),
+        ("accelerators", Value::from(9.0)),
+        ("memory_gb", Value::from(769.0)),
+        ("shape", Value::from("gang")),
+    ] {
+        assert!(!possible(&with(field, value.clone())), "{field}: {value:?}");
+    }
+}
