A cancellation without its job makes no live job

A node's view took a cancellation key alone for a job that is cancelled, so that a job that is done would have been called cancelled by every node that reads its view anew, for good. Such a job is looked up under past/ like any other that is not live.

--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -128,7 +128,7 @@
             rounds: 0,
         };
         // One that was accepted costs no write, however often it is repeated.
-        if !possible || self.view.get(&call.job).is_some() {
+        if !possible || self.view.get(&call.job).is_some_and(|j| j.stamp > 0) {
             call.stage = Stage::View;
             return self.user_send(call);
         }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -287,7 +287,9 @@
 
     /// The view is no older than the request.
     fn on_fresh_view(&mut self, mut call: UserCall) {
-        match self.view.get(&call.job).cloned() {
+        // A cancellation alone, such as an earlier version may have left behind, makes no live job.
+        let live = self.view.get(&call.job).filter(|job| job.stamp > 0);
+        match live.cloned() {
             Some(job) if job.cancelled => {
                 call.live = Some((job.tasks, job.stamp));
                 self.user_cancelled(&call);
