Play the meetings of users, the view and transactions

New verbs: `lost` asserts that transactions without an answer were carried out, or failed on their conditions; `ends` that ends are on record in time, and that of the jobs cancelled as they end some are done and some cancelled, so that a scenario can't miss its meeting.

--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -61,6 +61,11 @@
 //!                                           leads, gets no answer and is carried out 10 s later, after
 //!                                           newer ones; at_once: at once, only its answer is lost
 //! at 5  late txns for=20 every=3 late=8 [at_once=yes]   every third one of any node meets this
+//! at 5  lost done=3 failed=2               so many transactions without an answer at least were carried
+//!                                           out, and failed on their conditions
+//! at 5  ends [within=6] [done=3 cancelled=3]   each end is on record 6 s after the last task completed or
+//!                                           the cancellation was confirmed; so many jobs at least that
+//!                                           were cancelled as they ended are done, and cancelled
 //! at 5  slow state for=20 by=0.8            its answers take that much longer; what is asked is carried
 //!                                           out as ever
 //! at 5  late report MACHINE for=10          a copy of its next report arrives late
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -127,6 +127,8 @@
     began: Option<Micros>,
     /// When a question about it was last answered, or it was accepted.
     answered: Micros,
+    /// When its last task completed.
+    completed_at: Option<Micros>,
 }
 
 /// Once all troubles are over, a job about which no question is answered for so long is forgotten.
@@ -507,6 +509,7 @@
                     submitted: 0,
                     began: None,
                     answered: 0,
+                    completed_at: None,
                 };
                 self.jobs.insert(word(1)?.into(), seen);
             }
@@ -948,7 +951,10 @@
             self.granted();
         }
         match reply {
-            Reply::Now(status, body) => self.reply(caller, "state", 2 * MS, status, body),
+            Reply::Now(status, body) => {
+                self.count_lost(caller, path, status);
+                self.reply(caller, "state", 2 * MS, status, body)
+            }
             Reply::Later => {
                 self.state_tickets.insert(ticket, caller);
             }
@@ -1888,6 +1894,7 @@
             submitted: self.now,
             began: None,
             answered: self.now,
+            completed_at: None,
         };
         self.jobs.insert(job.into(), seen);
         Ok(())
--- a/crates/testkit/src/world/troubles.rs
+++ b/crates/testkit/src/world/troubles.rs
@@ -44,6 +44,8 @@
     /// What the next transaction of a node meets, or (none) that of whoever leads then.
     late_txn: BTreeMap<Option<usize>, LateTxn>,
     late_txns: Option<LateTxns>,
+    /// Transactions without an answer that were carried out, and that failed on their conditions.
+    lost: (u64, u64),
     /// By machine; none: every machine.
     copies: BTreeMap<Option<String>, Copies>,
     kept: BTreeMap<String, Kept>,
@@ -159,6 +161,17 @@
                 let until = now + line.time("for", 20.0)?;
                 self.troubles.cancel_at_end = (until, line.time("after", 0.0)?);
             }
+            ("lost", _) => {
+                let (done, failed) = self.troubles.lost;
+                let least = (
+                    line.number("done", 0.0)? as u64,
+                    line.number("failed", 0.0)? as u64,
+                );
+                if done < least.0 || failed < least.1 {
+                    return Err(format!("{done} were carried out, {failed} failed"));
+                }
+            }
+            ("ends", _) => self.check_ends(line)?,
             ("looks", _) => self.troubles.looks_until = now + line.time("for", 20.0)?,
             ("slow", "state") => {
                 let until = now + line.time("for", 20.0)?;
@@ -424,14 +437,59 @@
     /// submit it again at every node.
     pub(super) fn job_ends(&mut self, job: &str) {
         let (until, after) = self.troubles.cancel_at_end;
-        let complete = |j: &JobSeen| j.completed.len() as u64 == j.spec.shards;
-        let ends = self.jobs.get(job).is_some_and(complete);
+        let Some(seen) = self.jobs.get_mut(job) else {
+            return;
+        };
+        let ends = seen.completed.len() as u64 == seen.spec.shards;
+        if ends {
+            seen.completed_at.get_or_insert(self.now);
+        }
         if ends && self.now < until {
             self.push(self.now + after, Ev::RetryCancel(job.into()));
             self.push(self.now + after, Ev::Look(job.into()));
         }
     }
 
+    /// Of the jobs that were cancelled though all of their tasks completed, so many at least were
+    /// called done, and so many cancelled; and ends are on record in time.
+    fn check_ends(&self, line: &Line) -> Result<(), String> {
+        let within = line.time("within", 6.0)?;
+        let (mut done, mut aborted) = (0, 0);
+        for (id, j) in self.jobs.iter().filter(|(_, j)| j.accepted) {
+            let both = j.completed_at.is_some() && j.cancel_asked.is_some();
+            done += u64::from(both && j.done);
+            aborted += u64::from(both && j.cancelled_at.is_some());
+            let over = match (j.completed_at, j.cancelled_at) {
+                (Some(a), Some(b)) => Some(a.min(b)),
+                (a, b) => a.or(b),
+            };
+            let Some(over) = over.filter(|at| self.now > at + within) else {
+                continue;
+            };
+            if !self.state.has(&format!("past/{id}")) {
+                let ago = (self.now - over) / S;
+                return Err(format!(
+                    "{id} is over for {ago} s and its end not on record"
+                ));
+            }
+        }
+        let least = |key: &str| line.number(key, 0.0).map(|n| n as u64);
+        if done < least("done")? || aborted < least("cancelled")? {
+            return Err(format!("{done} are done, {aborted} cancelled"));
+        }
+        Ok(())
+    }
+
+    /// Counts a transaction that gets no answer.
+    pub(super) fn count_lost(&mut self, caller: Caller, path: &str, status: u16) {
+        let lost = &mut self.troubles.lost;
+        match (caller.process, path, status) {
+            (0, "/txn", 200) => lost.0 += 1,
+            (0, "/txn", 409) => lost.1 += 1,
+            _ => {}
+        }
+    }
+
     /// Something was said of a job for the first time: users look closely.
     pub(super) fn look_after(&mut self, job: &str, what: &'static str) {
         if self.now < self.troubles.looks_until
