A new leader renews its lease by the lease's own age

Its first renewal went out a quarter of the lease after it had learnt that it leads. Where the state service takes a second an answer, the lease is then two seconds old already, of 2.5: it ran out before the renewal, each new leader was deposed before it had read its state, and for as long as the state service was slow nobody led after a leader's death. The same holds if the answer to the claim is lost and read back. Now the quarter counts from when the lease was asked for.

--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -61,6 +61,8 @@
     /// No candidacy before this time.
     abstain_until: Micros,
     incarnation: u64,
+    /// When a lease was last asked for.
+    lease_at: Micros,
     /// What each peer last said, by its place in the settings.
     peers: BTreeMap<usize, PeerView>,
     /// Number of the last question to the peers.
@@ -85,6 +87,7 @@
             next_probe: 0,
             abstain_until: 0,
             incarnation,
+            lease_at: 0,
             peers: BTreeMap::new(),
             question: 0,
             grant: 0,
@@ -249,6 +252,7 @@
                 self.election.leader = None;
                 if now >= self.election.abstain_until {
                     self.election.busy = true;
+                    self.election.lease_at = now;
                     let request = LeaseRequest {
                         life_ms: self.cx.tuning.leader_lease_us / MILLI,
                     };
@@ -324,7 +328,7 @@
         };
         self.election.leader = Some((record, token));
         self.election.peers.clear();
-        let mut lead = Box::new(Lead::new(&self.cx, token, lease));
+        let mut lead = Box::new(Lead::new(&self.cx, token, lease, self.election.lease_at));
         lead.start_loading(&mut self.cx);
         self.lead = Some(lead);
     }
@@ -400,12 +404,13 @@
 }
 
 impl Lead {
-    fn new(cx: &Ctx, token: u64, lease: u64) -> Self {
+    fn new(cx: &Ctx, token: u64, lease: u64, lease_at: Micros) -> Self {
         let now = cx.now.steady;
         Lead {
             token,
             lease,
-            extend_at: now + cx.tuning.leader_lease_us / 4,
+            // The lease may be old already, if the state service is slow.
+            extend_at: lease_at + cx.tuning.leader_lease_us / 4,
             doubtful: false,
             loading: None,
             began: now,
