Submissions and cancellations wait longer than questions for a slow state service

All requests waited 1.4 s at most for the node's view, which fits a question (users wait 2 s), not a submission or a cancellation (5 s). Under a state service that takes 1.4 s an answer, none of these was answered at all; and one whose transaction got no answer was past its patience by the time it could be read back, so that it was refused though carried out. They wait 3.4 s now.

Answers that a standstill held up are asked for anew, by what they are, instead of by the age of the request, which no longer is a measure for it.

--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -405,6 +405,9 @@
                     self.on_lead_reply(what, outcome);
                 }
             }
+            // What users are told may have changed too: it is asked for anew.
+            Pending::User(user) if stale => self.on_user_reply(user, Outcome::Unknown),
+            Pending::View(what) if stale => self.on_view(what, made, Outcome::Unknown),
             Pending::User(user) => self.on_user_reply(user, outcome),
             Pending::View(what) => self.on_view(what, made, outcome),
             Pending::Catalogue(from_state) => self.on_catalogue(from_state, outcome),
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -8,7 +8,7 @@
 //! all cancellations as of a moment that is recent, whatever happens next.
 
 use crate::node::{Node, Pending, STATE_TIMEOUT};
-use crate::users::{Stage, UserCall};
+use crate::users::{Ask, Stage, UserCall};
 use crate::{Micros, Outcome, Target, MILLI, SECOND};
 use grebewood_wire as wire;
 use grebewood_wire::http::{Changes, Entry, EntryList};
@@ -41,8 +41,12 @@
 const REFRESH: Micros = SECOND;
 /// The same after an attempt that failed.
 const REFRESH_AGAIN: Micros = 500 * MILLI;
-/// A user's request waits no longer than this.
+/// A question waits no longer than this: users wait 2 s for an answer.
 const PATIENCE: Micros = 1_400 * MILLI;
+/// A submission or cancellation may wait longer, since they wait 5 s for its answer. Under a slow
+/// state service, or when the answer to the transaction was lost, they were once all refused, and
+/// came again a second later and later.
+const LONG_PATIENCE: Micros = 3_400 * MILLI;
 
 /// The view.
 #[derive(Debug, Default)]
@@ -63,6 +67,17 @@
     waiting: Vec<UserCall>,
 }
 
+impl UserCall {
+    /// Until when it waits for the view.
+    fn patient_until(&self) -> Micros {
+        self.arrived
+            + match self.ask {
+                Ask::Poll => PATIENCE,
+                _ => LONG_PATIENCE,
+            }
+    }
+}
+
 impl View {
     pub fn get(&self, id: &str) -> Option<&LiveJob> {
         self.live.get(id)
@@ -75,9 +90,8 @@
             (true, false) => self.next_at,
             (false, false) => self.next_at.max(self.refresh_at),
         };
-        // Requests wait in the order in which they came.
-        if let Some(call) = self.waiting.first() {
-            at = at.min(call.arrived + PATIENCE);
+        for call in &self.waiting {
+            at = at.min(call.patient_until());
         }
         at
     }
@@ -132,11 +146,15 @@
 
     pub(crate) fn run_view(&mut self) {
         let now = self.cx.now.steady;
-        let overdue = |c: &UserCall| now >= c.arrived + PATIENCE;
-        while self.view.waiting.first().is_some_and(overdue) {
-            let call = self.view.waiting.remove(0);
-            self.cx
-                .refuse(call.request, 503, "the state service is not in time");
+        let overdue = |c: &UserCall| now >= c.patient_until();
+        if self.view.waiting.iter().any(overdue) {
+            let waiting = std::mem::take(&mut self.view.waiting);
+            let (late, rest): (Vec<_>, Vec<_>) = waiting.into_iter().partition(overdue);
+            self.view.waiting = rest;
+            for call in late {
+                self.cx
+                    .refuse(call.request, 503, "the state service is not in time");
+            }
         }
         let v = &mut self.view;
         let wanted = !v.built || !v.waiting.is_empty() || now >= v.refresh_at;
@@ -216,8 +234,7 @@
                     self.view.since = self.view.since.max(Some(changes.epoch));
                     self.cx.cancellations.read_as_of(made);
                     for call in std::mem::take(&mut self.view.asked) {
-                        if now >= call.arrived + PATIENCE {
-                            // After a standstill: the answer may be as old as that.
+                        if now >= call.patient_until() {
                             let why = "the state service is not in time";
                             self.cx.refuse(call.request, 503, why);
                         } else {
--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -65,7 +65,8 @@
 //!                                           out, and failed on their conditions
 //! at 5  ends [within=6] [done=3 cancelled=3]   each end is on record 6 s after the last task completed or
 //!                                           the cancellation was confirmed; so many jobs at least that
-//!                                           were cancelled as they ended are done, and cancelled
+//!                                           were cancelled as they ended are done, and cancelled;
+//!                                           of=JOB confirmed=3: of so many the cancellation is confirmed
 //! at 5  slow state for=20 by=0.8            its answers take that much longer; what is asked is carried
 //!                                           out as ever
 //! at 5  late report MACHINE for=10          a copy of its next report arrives late
--- a/crates/testkit/src/world/troubles.rs
+++ b/crates/testkit/src/world/troubles.rs
@@ -477,6 +477,13 @@
         if done < least("done")? || aborted < least("cancelled")? {
             return Err(format!("{done} are done, {aborted} cancelled"));
         }
+        let of = line.text("of", "");
+        let confirmed = self.jobs.iter();
+        let confirmed = confirmed.filter(|(id, j)| id.starts_with(&of) && j.cancelled_at.is_some());
+        let (confirmed, wanted) = (confirmed.count() as u64, least("confirmed")?);
+        if confirmed < wanted {
+            return Err(format!("{confirmed} cancellations are confirmed"));
+        }
         Ok(())
     }
 
