--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -193,6 +193,9 @@
     pub direct: BTreeMap<String, Micros>,
     flush_failures: u32,
     corrupt: Vec<String>,
+    /// Jobs said to be cancelled whose cancellation was not found on record; whether they are over
+    /// is yet to be read.
+    unproven: BTreeSet<String>,
 }
 
 impl Node {
@@ -443,6 +446,7 @@
             direct: BTreeMap::new(),
             flush_failures: 0,
             corrupt: Vec::new(),
+            unproven: BTreeSet::new(),
         }
     }
 
--- a/crates/core/src/leadership/contact/tests.rs
+++ b/crates/core/src/leadership/contact/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::settings::{Sibling, StateLimits};
 use crate::{Door, Effect, Input, NoStopwatch, Now, Settings, Tuning};
-use grebewood_wire::http::{CheckinAnswer, Order, Report, ShardReport};
+use grebewood_wire::http::{CheckinAnswer, Order, Precedence, Report, ShardReport, Submission};
 
 const WALL: u64 = 1_700_000_000 * SECOND;
 
@@ -153,3 +153,78 @@
     assert_eq!(certain(&node), Some(19 * SECOND));
     assert!(node.cx.cancellations.get("req-1").is_some());
 }
+
+/// A leader that was told by a peer that `req-1` is cancelled, which it is about to end.
+fn told_leader() -> Node {
+    let mut node = unread_leader(20 * SECOND);
+    let spec = Submission {
+        uid: "req-1".into(),
+        workclass: "work".into(),
+        owner: "t".into(),
+        shape: "batch".into(),
+        precedence: Precedence::Normal,
+        shards: 1,
+        vcpus: 1.0,
+        accelerators: 0.0,
+        memory_gb: 1.0,
+        bundle: "img".into(),
+        pull_gb: 1.0,
+        builds: None,
+        yard: None,
+        one_zone: false,
+        spread: false,
+        loaner: true,
+        expected_s: 10.0,
+        savepoint_s: 0.0,
+        flush_s: 0.0,
+        due_s: None,
+    };
+    let record = JobRecord {
+        spec,
+        accepted_us: WALL,
+    };
+    let lead = node.lead.as_mut().expect("a leader");
+    lead.add_job(&node.cx, "job/req-1", &to_value(&record), 5);
+    let cancel = CancelRecord { cancelled_us: WALL };
+    lead.on_cancelled(&mut node.cx, "req-1", Some(&cancel));
+    assert_eq!(lead.ledger.stale, vec!["job/req-1/cancel".to_string()]);
+    node
+}
+
+fn answer<T: serde::Serialize>(status: u16, body: &T) -> Outcome {
+    let body = wire::to_cbor(body);
+    Outcome::Answer { status, body }
+}
+
+/// What was said of a cancellation that is not on record was wrong; unless the job is over, whose
+/// end takes the record away. Its tasks would have been started again.
+#[test]
+fn a_cancellation_without_record_is_taken_back_only_if_the_job_is_not_over() {
+    for over in [false, true] {
+        let mut node = told_leader();
+        let lead = node.lead.as_mut().expect("a leader");
+        lead.on_refresh(&mut node.cx, "job/req-1/cancel", answer(404, &()));
+        let cancelled = |lead: &Lead| {
+            let job = lead.jobs.find("req-1").and_then(|ix| lead.jobs.get(ix));
+            job.map(|j| j.cancelled.is_some())
+        };
+        assert_eq!(cancelled(lead), Some(true));
+        assert_eq!(lead.ledger.stale, vec!["past/req-1".to_string()]);
+        let past = PastRecord {
+            status: "aborted".into(),
+            shards: 1,
+        };
+        let past = BTreeMap::from([
+            ("k", Value::from("past/req-1")),
+            ("value", to_value(&past)),
+            ("stamp", Value::from(9)),
+        ]);
+        let outcome = match over {
+            true => answer(200, &past),
+            false => answer(404, &()),
+        };
+        lead.on_refresh(&mut node.cx, "past/req-1", outcome);
+        assert_eq!(cancelled(lead), (!over).then_some(false));
+        assert!(lead.ledger.stale.is_empty());
+    }
+}
--- a/crates/core/src/leadership/flush.rs
+++ b/crates/core/src/leadership/flush.rs
@@ -362,8 +362,21 @@
             }
             Outcome::Answer { status: 404, .. } => {
                 self.ledger.stamps.remove(key);
+                let said = |id: &str| {
+                    let job = self.jobs.find(id).and_then(|ix| self.jobs.get(ix));
+                    job.is_some_and(|j| j.cancelled.is_some())
+                };
                 if let Some(JobKey::Cancelled(id)) = JobKey::parse(key) {
-                    self.retract_cancellation(cx, id);
+                    if said(id) {
+                        // The end of the job, which takes its cancellation away, may have been
+                        // written late: that is read next.
+                        self.unproven.insert(id.to_string());
+                        self.ledger.stale.push(format!("{PAST}{id}"));
+                    }
+                } else if let Some(id) = key.strip_prefix(PAST) {
+                    if self.unproven.remove(id) && said(id) {
+                        self.retract_cancellation(cx, id);
+                    }
                 }
             }
             _ => return self.flush_failed(cx),
