Count the lease of a check-in that the answer to a direct command overtook

A check-in is under way while a stop is sent straight to its machine, and the answer to the stop, which has the higher tally, arrives first. The check-in then looked like a late copy: it was answered 200, which its worker takes, but the answer was not noted. If the machine was cut off right after, its lease was taken to have run out one report interval too early (by more than the margin of 1.5 s where reports are 4 or 5 s apart), its tasks were freed and ran twice.

Ruled out: refusing such a check-in with 503, which sends the worker to another node for seconds; taking each late copy for an answer, which keeps the tasks of a machine that is gone for as long as copies arrive. Only a check-in newer than all check-ins before counts, so each tally counts once.

--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -141,7 +141,16 @@
         let (machine, tenure, tally) = (report.perch.clone(), report.tenure, report.tally);
         let fresh = self.on_report(cx, report, Source::Checkin);
         if !fresh {
-            // A late copy. It renews no lease, and whatever the answer, nobody takes it.
+            // A late copy. It renews no lease, and whatever the answer, nobody takes it. Unless it is a
+            // check-in that the answer to a direct command overtook: its worker takes our answer, so
+            // its lease began when it sent this. That lease was once taken to have run out by the
+            // answer before.
+            if let Some(m) = self.machines.get_mut(&machine) {
+                if tenure == m.tenure && (tenure, tally) > m.checkin {
+                    m.checkin = (tenure, tally);
+                    m.last_answer = now;
+                }
+            }
             return self.answer_checkin(cx, request, Vec::new());
         }
         self.heard_at = now;
@@ -227,6 +236,9 @@
         let new_tenure = report.tenure > m.tenure;
         m.tenure = report.tenure;
         m.tally = report.tally;
+        if source == Source::Checkin {
+            m.checkin = (report.tenure, report.tally);
+        }
         if report.warrant == self.token {
             m.knows_token = true;
         }
--- a/crates/core/src/workers/machine.rs
+++ b/crates/core/src/workers/machine.rs
@@ -98,6 +98,8 @@
     pub tally: u64,
     /// Whether it has reported under our token.
     pub knows_token: bool,
+    /// The newest check-in, by (tenure, tally). The answer to a direct command may overtake it.
+    pub checkin: (u64, u64),
     pub last_report: Micros,
     /// When we last answered a check-in of it: its lease ends no later than a lease after that.
     pub last_answer: Micros,
@@ -143,6 +145,7 @@
             tenure: 0,
             tally: 0,
             knows_token: false,
+            checkin: (0, 0),
             last_report: now,
             last_answer: now,
             recall_at: None,
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -94,6 +94,8 @@
     },
     /// Users look closely at a job.
     Look(String),
+    /// A report of this tally arrives: an answer to a direct command must have overtaken it.
+    Overtaken(String, u64),
     Script(Line),
     Start(usize),
     Tick,
@@ -189,6 +191,7 @@
     troubles: Troubles,
     checks: Checks,
     late_report: BTreeMap<String, Micros>,
+    overtake_report: BTreeMap<String, Micros>,
     lose_answer: BTreeSet<String>,
     expected: u64,
     met: u64,
@@ -286,6 +289,7 @@
             troubles: Troubles::default(),
             checks: Checks::default(),
             late_report: BTreeMap::new(),
+            overtake_report: BTreeMap::new(),
             lose_answer: BTreeSet::new(),
             expected: 0,
             met: 0,
@@ -715,6 +719,13 @@
                 self.look(&job);
                 Ok(())
             }
+            Ev::Overtaken(machine, tally) => {
+                let m = self.machine_mut(&machine)?;
+                match m.tally > tally {
+                    true => Ok(()),
+                    false => Err(format!("nothing overtook the report of {machine}")),
+                }
+            }
             Ev::Script(line) => {
                 let number = line.number;
                 self.script(line).map_err(|e| format!("line {number}: {e}"))
@@ -1525,7 +1536,12 @@
         if now < cut_until {
             return Ok(());
         }
-        if let Some(at) = self.arrival(node, "workers", MS) {
+        let slow = self.overtake_report.remove(name);
+        if let Some(late) = slow {
+            let tally = self.machine_mut(name)?.tally;
+            self.push(now + late, Ev::Overtaken(name.into(), tally));
+        }
+        if let Some(at) = self.arrival(node, "workers", MS + slow.unwrap_or(0)) {
             let ev = ev(body);
             self.push(at, ev);
         }
@@ -1795,6 +1811,10 @@
                 let name = line.word(2)?.to_string();
                 self.late_report.insert(name, line.time("for", 10.0)?);
             }
+            "overtake" => {
+                let late = line.time("for", 1.0)?;
+                self.overtake_report.insert(line.word(2)?.into(), late);
+            }
             "lose" => {
                 self.lose_answer.insert(line.word(2)?.into());
             }
