Count a machine's lease from the moment at which it is known to have our token

Another leader that does not know of its end renews the leases of machines that have not seen the new token. The new leader may know such a machine from the late copy of a report, and reach it first with a stop: from then on the machine counts as one that only our answers keep alive, but the time was taken from the copy. If it reached nobody after the command, its lease was taken to have run out seconds too early, its tasks were freed and ran twice.

Now the time counts from the answer to the command that shows the token; check-ins do so by their own answer.

--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -240,6 +240,11 @@
             m.checkin = (report.tenure, report.tally);
         }
         if report.warrant == self.token {
+            // Until it saw our token, answers of an earlier leader that does not know of its end
+            // renewed its lease; a check-in's own answer is yet to come.
+            if !m.knows_token && source == Source::Direct {
+                m.last_answer = now;
+            }
             m.knows_token = true;
         }
         // A worker that has our answer reports here again well before the time after which one
