Place nothing on a machine that answers commands and reaches no controller

The answer to a direct command counted as a sign of life like a check-in. A mute machine whose replica kept it being asked stayed usable: the replica was freed with its lease, placed there again each second, and each time the session that we expect was counted up. When the machine came back in its second session its reports were older than that and counted for nothing: it stood still until it was returned as silent.

Work now goes, and what is not launched stays, only where check-ins arrive; a machine that is unheard for longer than its lease is returned whatever it answers. Whether replicas still serve is asked as before.

Scenario mute_machine fails without the guard: no replica is served 5 s after the machine is back.

--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -238,6 +238,7 @@
         m.tally = report.tally;
         if source == Source::Checkin {
             m.checkin = (report.tenure, report.tally);
+            m.last_checkin = now;
         }
         if report.warrant == self.token {
             // Until it saw our token, answers of an earlier leader that does not know of its end
@@ -878,6 +879,9 @@
                 continue;
             };
             let silent = now.saturating_sub(m.last_report);
+            // A machine may answer direct commands and reach no controller: nothing can be launched there.
+            // A replica was once placed on such a one again and again, each time for a further session.
+            let unheard = now.saturating_sub(m.last_checkin);
             if m.knows_token
                 && now.saturating_sub(m.last_answer) > lapse
                 && m.assignments.iter().any(|a| a.tenure <= m.tenure)
@@ -904,7 +908,7 @@
                     self.free(cx, &name, 0);
                 }
             }
-            if silent > 3 * report {
+            if unheard > 3 * report {
                 self.free_unlaunched(cx, &name);
             }
             let Some(m) = self.machines.get(&name) else {
@@ -922,9 +926,9 @@
             if serves && hearing && !new && silent > 2 * report + SECOND {
                 silent_serving.push((silent, name.clone()));
             }
-            if overdue_cancel || (hearing && silent > silent_release(lease)) {
+            if overdue_cancel || (hearing && unheard > silent_release(lease)) {
                 if self.fleet.release(&name, now) {
-                    info!("{name}: released, silent for {} s", silent / SECOND);
+                    info!("{name}: released, silent for {} s", unheard / SECOND);
                 }
                 if let Some(m) = self.machines.get_mut(&name) {
                     m.closing = true;
--- a/crates/core/src/workers/machine.rs
+++ b/crates/core/src/workers/machine.rs
@@ -100,6 +100,9 @@
     pub knows_token: bool,
     /// The newest check-in, by (tenure, tally). The answer to a direct command may overtake it.
     pub checkin: (u64, u64),
+    /// When it last checked in: only then can anything be launched.
+    pub last_checkin: Micros,
+    /// When it last checked in or answered a direct command.
     pub last_report: Micros,
     /// When we last answered a check-in of it: its lease ends no later than a lease after that.
     pub last_answer: Micros,
@@ -146,6 +149,7 @@
             tally: 0,
             knows_token: false,
             checkin: (0, 0),
+            last_checkin: now,
             last_report: now,
             last_answer: now,
             recall_at: None,
@@ -235,7 +239,7 @@
             && self.recall_at.is_none()
             && self.tenure > 0
             && self.shy_until <= now
-            && now.saturating_sub(self.last_report) <= silence
+            && now.saturating_sub(self.last_checkin) <= silence
     }
 }
 
