Keep cancelled tasks of a silent machine on record until its release is answered

When a machine's lease had run out, its tasks were freed, and for a cancelled one among them a release was asked for in case the machine hangs and goes on. The job ended with that. If the cloud could not be reached at that moment and the leader ended, the next one knew nothing of the task, and the machine was released only as one that never reports, 44 s after it began to hang and more than cancel_s after the cancellation.

Such a task now stays until the release is answered, or the machine reports without it. Its quota counts as long; other tasks of the machine are free as before.

--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -882,30 +882,33 @@
             // A machine may answer direct commands and reach no controller: nothing can be launched there.
             // A replica was once placed on such a one again and again, each time for a further session.
             let unheard = now.saturating_sub(m.last_checkin);
-            if m.knows_token
-                && now.saturating_sub(m.last_answer) > lapse
-                && m.assignments.iter().any(|a| a.tenure <= m.tenure)
-            {
+            let lapsed = m.knows_token && now.saturating_sub(m.last_answer) > lapse;
+            let jobs = &self.jobs;
+            let cancelled = |a: &Assignment| jobs.get(a.job).is_none_or(|j| j.cancelled.is_some());
+            if lapsed && m.assignments.iter().any(cancelled) {
+                // A hanging machine may not know yet that its lease has run out, and cancelled tasks must
+                // be gone in time. Their proof is the release: were they freed before it is answered, the
+                // next leader would not know that it is due.
+                self.fleet.release(&name, now);
+                m.closing = true;
+            }
+            let tenure = m.tenure;
+            let ended = |a: &Assignment| a.tenure <= tenure && !cancelled(a);
+            if lapsed && m.assignments.iter().any(ended) {
                 // The worker has seen our token, so only our answers renew its lease, and the
                 // last one is too old: it has killed every task and is in a new session.
                 info!("{name}: lease has run out");
-                // A hanging machine may not know it yet; cancelled tasks must be gone in time.
-                let cancelled = m.assignments.iter().any(|a| {
-                    let job = self.jobs.get(a.job);
-                    job.is_none_or(|j| j.cancelled.is_some())
-                });
-                if cancelled {
-                    self.fleet.release(&name, now);
-                }
+                let attempts: Vec<u64> = m
+                    .assignments
+                    .iter()
+                    .filter(|a| ended(a))
+                    .map(|a| a.attempt)
+                    .collect();
                 m.tenure += 1;
                 m.tally = 0;
                 m.reaps.clear();
-                while !self
-                    .machines
-                    .get(&name)
-                    .is_none_or(|m| m.assignments.is_empty())
-                {
-                    self.free(cx, &name, 0);
+                while let Some(at) = self.position(&name, |a| attempts.contains(&a.attempt)) {
+                    self.free(cx, &name, at);
                 }
             }
             if unheard > 3 * report {
