Find out machines that were gone before a leader began, also when nobody reports

All machines died while no controller was there. The next leader had them from the pages alone: no report, so that its own cut could not be told from their silence and none was released; no list of its own had shown them, so that none counted as taken; and after four spans of silence it gave the lease back, so that leaders followed one another with nothing ever freed, rented or run.

A machine known from state only, which no list shows by twice the list's lag after the load, is taken: its release is the proof.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -157,6 +157,11 @@
         self.hires.insert(name, hire);
     }
 
+    /// Whether a list of the cloud's was taken in.
+    pub fn has_list(&self) -> bool {
+        self.listed_at.is_some()
+    }
+
     /// Whether the machine's release was answered.
     pub fn is_gone(&self, name: &str) -> bool {
         self.gone.contains_key(name)
@@ -546,8 +551,10 @@
     }
 
     /// A machine that was listed long ago, is listed no more and does not report has been taken
-    /// without notice. Its release, which costs nothing, gives the proof that frees its tasks,
-    /// earlier than the end of its lease would.
+    /// without notice; so has one of an earlier leader's that no list of ours ever showed. Its
+    /// release, which costs nothing, gives the proof that frees its tasks, earlier than the end of
+    /// its lease would. Of machines that are gone before a leader begins there is no other proof,
+    /// if nobody is left whose reports show that the silence is theirs.
     fn find_taken(&mut self, cx: &Ctx, list: &[wire::http::ListedMachine]) {
         let now = cx.now.steady;
         let listed: BTreeSet<&str> = list.iter().map(|p| p.uid.as_str()).collect();
@@ -559,7 +566,9 @@
             }
             // A list may be older than the one before it, by as much as the lag allows.
             let long_ago = 2 * cx.settings.list_lag + 2 * SECOND;
-            if m.listed.is_some_and(|at| now.saturating_sub(at) > long_ago)
+            let from_state = m.endpoint.is_empty().then_some(self.loaded_at);
+            let since = m.listed.or(from_state);
+            if since.is_some_and(|at| now.saturating_sub(at) > long_ago)
                 && now.saturating_sub(m.last_report) > 2 * cx.settings.report + SECOND
             {
                 taken.push(m.name.clone());
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -847,9 +847,14 @@
         let lately =
             |m: &&Machine| m.knows_token && now.saturating_sub(m.last_report) < silence * 4;
         match self.machines.values().filter(lately).count() {
-            // Copies of a deleted machine's reports make no machine.
+            // Copies of a deleted machine's reports make no machine; nor does a page that lists one
+            // which is gone from the cloud: leaders once gave up in turn, none stayed long enough
+            // to find that out.
             0 => {
-                let real = |m: &Machine| m.endpoint.is_empty() || m.knows_token;
+                let list = self.fleet.has_list();
+                let real = |m: &Machine| {
+                    m.knows_token || (m.endpoint.is_empty() && (m.listed.is_some() || !list))
+                };
                 since > silence * 4 && self.machines.values().any(real)
             }
             // A single machine may well be at fault itself.
