Try a job that kept failing with more tasks the longer they run well

Three failures in a row, as on one faulty machine, let a job have one task at a time until one had completed: with long tasks it waited for minutes with room for all. Now twice as many may run for each ten seconds without a failure. A job that fails everywhere still has one (faulty_job).

failed_on_one_machine fails without it: 5 starts at 130 s, not 8.

--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -23,6 +23,9 @@
 /// first must not starve the largest jobs.
 pub const BEGIN_AFTER: Micros = 60 * SECOND;
 
+/// A job that kept failing is tried with twice as many tasks for each such span without a failure.
+const TRIED_WELL: Micros = 10 * SECOND;
+
 /// Most tasks that a job may have.
 pub const MAX_TASKS: u64 = 100_000;
 const MAX_NAME: usize = 150;
@@ -220,6 +223,8 @@
     /// Machines that were returned because its tasks alone kept failing there.
     pub blamed: u32,
     pub retry_at: Micros,
+    /// Since when some task of it has been running without any that failed.
+    pub running_well_since: Micros,
     /// Live assignments by zone.
     pub zones: BTreeMap<String, u32>,
     /// Its tasks that were last seen running.
@@ -263,6 +268,7 @@
             errors: 0,
             blamed: 0,
             retry_at: 0,
+            running_well_since: 0,
             zones: BTreeMap::new(),
             running: 0,
             began_at: None,
@@ -441,11 +447,43 @@
         self.cancelled.map(|at| (now as i64 - at).max(0) as Micros)
     }
 
-    /// Whether its tasks keep failing: then they are tried one at a time.
+    /// Whether its tasks keep failing: then they are tried one at a time at first.
     pub fn keeps_failing(&self) -> bool {
         self.errors >= 3
     }
 
+    /// How many tasks of a job that keeps failing may be tried at once: the longer they run well, the
+    /// more. A job that had failed on one faulty machine was once left with a single long task at a
+    /// time, with room for all.
+    fn tries(&self, now: Micros) -> u64 {
+        match self.running {
+            0 => 1,
+            _ => 1 << (now.saturating_sub(self.running_well_since) / TRIED_WELL).min(20),
+        }
+    }
+
+    /// Tasks that are on machines, as far as known.
+    pub fn live(&self) -> u64 {
+        self.zones.values().map(|n| u64::from(*n)).sum()
+    }
+
+    /// The zone that a `one_zone` job is bound to by the tasks that it has there; also by those
+    /// that cannot be reached.
+    pub fn bound_zone(&self) -> Option<&str> {
+        let mut used = self.zones.iter().filter(|(_, n)| **n > 0);
+        match self.spec.one_zone {
+            true => used.next().map(|(zone, _)| zone.as_str()),
+            false => None,
+        }
+    }
+
+    /// Whether the zone may take one more of its tasks, given where the others are.
+    pub fn zone_permits(&self, zone: &str) -> bool {
+        let here = self.zones.get(zone).map_or(0, |n| u64::from(*n));
+        self.bound_zone().is_none_or(|z| z == zone)
+            && (!self.spec.spread || here < self.spec.shards.div_ceil(2))
+    }
+
     /// Tasks that may be placed now, as far as the job itself is concerned.
     pub fn placeable(&self, now: Micros) -> u64 {
         let pausing = |task: &&u64| self.pauses(**task, now) && !self.taken.get(**task);
@@ -454,8 +492,7 @@
         if !self.keeps_failing() {
             return waiting;
         }
-        let live: u32 = self.zones.values().sum();
-        waiting.min(1u64.saturating_sub(live as u64))
+        waiting.min(self.tries(now).saturating_sub(self.live()))
     }
 
     /// Time since acceptance.
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -404,6 +404,9 @@
                 true => job.running + 1,
                 false => job.running.saturating_sub(1),
             };
+            if is && job.running == 0 {
+                job.running_well_since = at;
+            }
             self.progress_dirty.insert(ix);
         }
     }
@@ -485,6 +488,7 @@
                 info!("{shard}: error on {name}");
             }
             ("unknown", Some(job)) => {
+                job.running_well_since = now;
                 job.errors += 1;
                 job.retry_at = now + error_backoff(job.errors.max(3));
             }
