Free what is placed but not launched on a machine that is recalled

Nothing is launched on a recalled machine, and what would have ended before its end was not stopped either: a task that waited there for its record waited on until the machine was gone and its lease over. recalled_before_launch fails without it (pending at 35 s).

--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -270,6 +270,9 @@
         }
         if report.recall_s.is_some() {
             self.drain_recalled(cx, &name);
+            // Nothing is launched here any more: what waited for its record once waited on until
+            // the machine was gone.
+            self.free_unlaunched(cx, &name);
             self.move_replicas(cx, &name);
         }
         let mut deaf = false;
