Rent for a job of one zone in that zone

To the decider room anywhere was room for a job that may be in one zone only. The rest of an array whose first tasks bound it to a zone had nothing rented there while another had room, and waited for the first ones to end; a gang for which two zones had half of the room each waited for good. Now the rest is work of its zone, and a gang is work of the zone where room is, or may be rented, of these the one with the most.

one_zone_rest fails without it (4 starts at 60 s, not 7), one_zone_gang too (pending at 90 s).

--- a/crates/core/src/fleet/decider.rs
+++ b/crates/core/src/fleet/decider.rs
@@ -252,6 +252,11 @@
             plan.0 += n * j.spec.vcpus;
             plan.1 += n * j.spec.accelerators;
             let mut parts = match j.shape {
+                // The rest of a job bound to one zone has no use for room elsewhere: with some there,
+                // nothing was once rented in its own, and it waited for its first tasks to end.
+                _ if j.bound_zone().is_some() => vec![(j.bound_zone().map(str::to_string), n)],
+                // Room in two zones is none for a gang that is to be in one.
+                Shape::Gang if j.spec.one_zone => vec![(self.gang_zone(cx, j, n), n)],
                 // Tasks that run one after the other can wait for room anywhere.
                 Shape::Batch => Vec::new(),
                 _ => zone_needs(j, &zones, n),
@@ -274,6 +279,54 @@
         work
     }
 
+    /// The zone in which room is sought for a gang that is to be in one zone: where it is there, or
+    /// may be rented; of these where there is the most, booting machines included. Half of the room
+    /// in each of two zones once seemed to do, nothing was rented, and the gang waited for good.
+    fn gang_zone(&self, cx: &Ctx, job: &Job, n: f64) -> Option<String> {
+        let (now, silence) = (cx.now.steady, cx.settings.report * 3);
+        let spec = &job.spec;
+        let mut have: BTreeMap<&str, (bool, u64)> = BTreeMap::new();
+        for t in cx.catalogue.iter().flatten().filter(|t| fits_type(spec, t)) {
+            for zone in &t.yards {
+                let open = [false, true].into_iter().any(|spot| {
+                    let offer = (t.name.clone(), zone.clone(), spot);
+                    let closed = self.fleet.unavailable.get(&offer);
+                    permits(cx, spec, &t.name, zone, spot)
+                        && (!spot || t.spot_price.is_some())
+                        && closed.is_none_or(|(until, _)| *until <= now)
+                });
+                have.entry(zone).or_insert((false, 0)).0 |= open;
+            }
+        }
+        let mut add = |machine_type: &str, zone: &str, spot: bool, slots: u64| {
+            if permits(cx, spec, machine_type, zone, spot) {
+                if let Some((_, sum)) = have.get_mut(zone) {
+                    *sum += slots;
+                }
+            }
+        };
+        for m in self.machines.values().filter(|m| m.counts(now, silence)) {
+            add(&m.machine_type, &m.zone, m.spot, slots(m.free(), spec));
+        }
+        let whole = |machine_type: &str| {
+            let t = cx.machine_type(machine_type);
+            t.map_or(0, |t| slots((t.vcpus, t.accelerators, t.memory_gb), spec))
+        };
+        for b in self.fleet.boots.values() {
+            add(&b.machine_type, &b.zone, b.spot, whole(&b.machine_type));
+        }
+        let asked = self.fleet.hires.values().map(|h| (&h.record, &h.unlisted));
+        for (r, _) in asked.filter(|(_, unlisted)| unlisted.is_none()) {
+            let slots = whole(&r.machine_type) * r.number;
+            add(&r.machine_type, &r.zone, r.spot, slots);
+        }
+        let yard = |zone: &str| spec.yard.as_ref().is_none_or(|y| y == zone);
+        have.into_iter()
+            .filter(|(zone, _)| yard(zone))
+            .max_by_key(|(_, (open, sum))| (*open || *sum as f64 >= n, *sum))
+            .map(|(zone, _)| zone.to_string())
+    }
+
     /// The machines that are up, by offer, as the decider sees them.
     fn supply(&self, cx: &Ctx) -> Vec<Supply> {
         let now = cx.now.steady;
