Keep room for all of a gang that is to begin ahead of its turn

One machine was kept for a job that had waited for a minute: enough for a wide task, never for a gang of two machines' worth among narrow tasks that take each slot as it becomes free. As many machines as hold all of it are kept now, of one zone if it is bound to one. gang_among_narrow fails without it (not begun at 240 s).

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -393,26 +393,41 @@
 
     /// A job that is to begin ahead of its turn and found no room for a task: the machine with the most
     /// room that it could use is kept from the jobs after it, so that the room adds up. Narrow tasks
-    /// once took each slot as it became free, and a job of wide ones began after ten minutes.
+    /// once took each slot as it became free, and a job of wide ones began after ten minutes. For a
+    /// gang as many machines are kept as hold all of it: with one it once waited for good.
     fn keep_for_beginning(&self, cx: &Ctx, ix: JobIx, open: &mut Vec<Open>) {
         let Some(job) = self.jobs.get(ix) else { return };
         if !job.must_begin(cx.now.steady) || !self.has_quota(cx, ix) {
             return;
         }
         let spec = &job.spec;
-        let most_room = open
+        let mut room: Vec<(f64, &str, &str, u64)> = open
             .iter()
-            .enumerate()
-            .filter(|(_, o)| permits(cx, spec, &o.machine_type, &o.zone, o.spot))
-            .max_by(|(_, a), (_, b)| {
-                a.free
-                    .0
-                    .total_cmp(&b.free.0)
-                    .then_with(|| b.name.cmp(&a.name))
-            });
-        if let Some((at, _)) = most_room {
-            open.remove(at);
+            .filter(|o| permits(cx, spec, &o.machine_type, &o.zone, o.spot))
+            .filter_map(|o| {
+                let m = self.machines.get(&o.name)?;
+                let whole = slots((m.cpus, m.gpus, m.memory), spec);
+                Some((-o.free.0, o.name.as_str(), o.zone.as_str(), whole))
+            })
+            .collect();
+        room.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
+        if let (true, Some((_, _, zone, _))) = (spec.one_zone, room.first().copied()) {
+            room.retain(|(_, _, z, _)| *z == zone);
+        }
+        let need = match job.shape {
+            Shape::Gang => job.beginning(),
+            _ => 1,
+        };
+        let mut held = 0;
+        let mut kept = BTreeSet::new();
+        for (_, name, _, whole) in room {
+            if held >= need {
+                break;
+            }
+            held += whole;
+            kept.insert(name.to_string());
         }
+        open.retain(|o| !kept.contains(&o.name));
     }
 
     /// Places as many tasks of a job as the team's limit and the machines allow.
