Stop tasks only for work that may then start

Preemption looked at CPUs alone, at machines of all zones, and at parts of gangs: what was stopped for a job bound to another zone, for a team at its limit of accelerators, or for a gang that lacked room all the same, came back and was stopped again, for as long as that job waited. It now keeps to both limits, to the zone of the job (the one where the most would fit, if it has none yet), to spread, and stops for a gang only what makes room for all of it.

The testkit knows accelerators.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -576,8 +576,8 @@
             return None;
         }
         let job = self.jobs.get(ix)?;
-        if let Some((zone, _)) = job.zones.iter().find(|(_, n)| **n > 0) {
-            return Some(zone.clone());
+        if let Some(zone) = job.bound_zone() {
+            return Some(zone.to_string());
         }
         room_by_zone(spec, candidates, open)
             .into_iter()
@@ -671,14 +671,15 @@
             return;
         }
         let silence = cx.settings.report * 3;
-        let mut stopping: BTreeMap<String, f64> = BTreeMap::new();
+        let mut stopping = Usage::new();
         // What is free, or will be, and what could be stopped, on each machine.
         let mut pool: Vec<(&Machine, Room, Vec<Victim>)> = Vec::new();
         for m in self.machines.values().filter(|m| m.usable(now, silence)) {
             let mut room = m.free();
             for a in m.assignments.iter().filter(|a| a.stop.is_some()) {
                 room = (room.0 + a.cpus, room.1 + a.gpus, room.2 + a.memory);
-                *stopping.entry(a.team.clone()).or_insert(0.0) += a.cpus;
+                let freed = stopping.entry(a.team.clone()).or_insert((0.0, 0.0));
+                *freed = (freed.0 + a.cpus, freed.1 + a.gpus);
             }
             let victims = self.victims(cx, m);
             if room.0 > EPS || !victims.is_empty() {
@@ -693,19 +694,33 @@
                 continue;
             };
             let mut need = j.placeable(now);
-            let mut quota = team.cpus_max - self.usage.get(&spec.owner).map_or(0.0, |u| u.0)
-                + stopping.get(&spec.owner).copied().unwrap_or(0.0);
+            let used = self.usage.get(&spec.owner).copied().unwrap_or((0.0, 0.0));
+            let freed = stopping.get(&spec.owner).copied().unwrap_or((0.0, 0.0));
+            let mut quota = (
+                team.cpus_max - used.0 + freed.0,
+                team.gpus_max - used.1 + freed.1,
+            );
+            let within = |quota: (f64, f64)| {
+                quota.0 + EPS >= spec.vcpus && quota.1 + EPS >= spec.accelerators
+            };
             let task = (spec.vcpus, spec.accelerators, spec.memory_gb);
-            let fits_here = |m: &Machine| permits(cx, spec, &m.machine_type, &m.zone, m.spot);
+            // Room in a zone that may take none of its tasks, given where the others are, is none:
+            // tasks there were once stopped for it, came back, and were stopped again.
+            let zone = zone_for(cx, j, &pool);
+            let fits_here = |m: &Machine| {
+                permits(cx, spec, &m.machine_type, &m.zone, m.spot)
+                    && j.zone_permits(&m.zone)
+                    && zone.as_ref().is_none_or(|z| *z == m.zone)
+            };
+            // A gang needs all of its room: what is stopped for a part of it is stopped for nothing.
+            let whole = j.shape == Shape::Gang;
+            let before = whole.then(|| pool.clone());
+            let stops_before = stops.len();
             // What is free, or will be, is counted first.
             for (m, room, _) in &mut pool {
-                while need > 0
-                    && quota + EPS >= spec.vcpus
-                    && slots(*room, spec) > 0
-                    && fits_here(m)
-                {
+                while need > 0 && within(quota) && slots(*room, spec) > 0 && fits_here(m) {
                     *room = (room.0 - task.0, room.1 - task.1, room.2 - task.2);
-                    quota -= spec.vcpus;
+                    quota = (quota.0 - task.0, quota.1 - task.1);
                     need -= 1;
                 }
             }
@@ -723,7 +738,7 @@
                     let mut quota_gain = quota;
                     let mut chosen = Vec::new();
                     for (at, v) in victims.iter().enumerate() {
-                        if slots(gain, spec) > 0 && quota_gain + EPS >= spec.vcpus {
+                        if slots(gain, spec) > 0 && within(quota_gain) {
                             break;
                         }
                         if v.precedence >= spec.precedence {
@@ -732,10 +747,10 @@
                         chosen.push(at);
                         gain = (gain.0 + v.cpus, gain.1 + v.gpus, gain.2 + v.memory);
                         if v.team == spec.owner {
-                            quota_gain += v.cpus;
+                            quota_gain = (quota_gain.0 + v.cpus, quota_gain.1 + v.gpus);
                         }
                     }
-                    if slots(gain, spec) == 0 || quota_gain + EPS < spec.vcpus {
+                    if slots(gain, spec) == 0 || !within(quota_gain) {
                         break;
                     }
                     for at in chosen.into_iter().rev() {
@@ -743,10 +758,14 @@
                         stops.push((m.name.clone(), v.attempt, v.leeway));
                     }
                     *room = (gain.0 - task.0, gain.1 - task.1, gain.2 - task.2);
-                    quota = quota_gain - spec.vcpus;
+                    quota = (quota_gain.0 - task.0, quota_gain.1 - task.1);
                     need -= 1;
                 }
             }
+            if let (true, Some(before)) = (need > 0, before) {
+                pool = before;
+                stops.truncate(stops_before);
+            }
         }
         for (name, attempt, leeway) in stops {
             if let Some(m) = self.machines.get_mut(&name) {
@@ -797,7 +816,30 @@
     }
 }
 
+/// The zone in which room can be made for a `one_zone` job: that of its tasks, else the one where
+/// the most of them would fit.
+fn zone_for(cx: &Ctx, job: &Job, pool: &[(&Machine, Room, Vec<Victim>)]) -> Option<String> {
+    let spec = &job.spec;
+    if !spec.one_zone {
+        return None;
+    }
+    if let Some(zone) = job.bound_zone() {
+        return Some(zone.to_string());
+    }
+    let mut zones: BTreeMap<&str, u64> = BTreeMap::new();
+    for (m, room, victims) in pool {
+        if permits(cx, spec, &m.machine_type, &m.zone, m.spot) {
+            let lower = victims.iter().filter(|v| v.precedence < spec.precedence);
+            let gain = lower.fold(*room, |r, v| (r.0 + v.cpus, r.1 + v.gpus, r.2 + v.memory));
+            *zones.entry(&m.zone).or_insert(0) += slots(gain, spec);
+        }
+    }
+    let best = zones.into_iter().max_by_key(|(_, n)| *n);
+    best.map(|(zone, _)| zone.to_string())
+}
+
 /// A task that may be stopped for another.
+#[derive(Clone)]
 struct Victim {
     ran: Micros,
     precedence: Precedence,
--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -6,7 +6,7 @@
 //! nodes 3                                   controllers
 //! workers report=1.5 lease=10 cancel=30
 //! aim wait CLASS within=60                 beside: the class work finishes within 60 s
-//! team NAME cpus=16 max=32
+//! team NAME cpus=16 max=32 [gpus=0 gmax=0]
 //! state value=4 ops=8 writes=20 rps=100 [next_value=2 next_ops=4 ...]   what the state service takes
 //!                                           (KiB, changes, a second), and what it announces for later
 //! tuning KEY=VALUE ...                      operators' settings
@@ -16,7 +16,7 @@
 //!                                           while a machine that fits has room and its team may run it
 //! store NAME age=30                         data/NAME.txt: what the version before left in the middle
 //!                                           of its work, 30 s after its start
-//! type NAME cpus=8 mem=32 price=1 spot=0.3 boot=10 cap=4 spotcap=2 zones=a,b
+//! type NAME cpus=8 mem=32 price=1 spot=0.3 boot=10 cap=4 spotcap=2 zones=a,b [gpus=0]
 //! machines TYPE zone=a count=2 [spot=yes]   up at the start: n-000000, n-000001, ...
 //! ```
 //!
@@ -24,7 +24,7 @@
 //!
 //! ```text
 //! at 5  submit JOB tasks=4 cpus=2 [owner= prec= run= due= saves=yes flush= fails=yes zone= type=
-//!       spot=no one_zone=yes spread=yes shape= class=]
+//!       spot=no one_zone=yes spread=yes shape= class= gpus=]
 //! every 6 from 1 to 90 submit JOB ...       such a job every 6 s: JOB001, JOB002, ...
 //! at 5  begun JOB                           a task of it came onto a machine
 //!                                           node=N|leader|other: there the first time, later anywhere
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -377,8 +377,8 @@
                 let team = Team {
                     cpus: line.number("cpus", 0.0)?,
                     cpus_max: line.number("max", 0.0)?,
-                    gpus: 0.0,
-                    gpus_max: 0.0,
+                    gpus: line.number("gpus", 0.0)?,
+                    gpus_max: line.number("gmax", 0.0)?,
                 };
                 self.settings.teams.insert(line.word(1)?.into(), team);
             }
@@ -388,7 +388,7 @@
                 self.types.push(MachineType {
                     name: name.clone(),
                     vcpus: line.number("cpus", 8.0)?,
-                    accelerators: 0.0,
+                    accelerators: line.number("gpus", 0.0)?,
                     memory_gb: line.number("mem", 32.0)?,
                     local_gb: Some(50.0),
                     fetch_gb_per_s: Some(1.0),
@@ -1876,7 +1876,7 @@
             precedence,
             shards: line.number("tasks", 1.0)? as u64,
             vcpus: line.number("cpus", 2.0)?,
-            accelerators: 0.0,
+            accelerators: line.number("gpus", 0.0)?,
             memory_gb: line.number("mem", 1.0)?,
             bundle: "img".into(),
             pull_gb: 0.5,
--- a/crates/testkit/src/world/checks.rs
+++ b/crates/testkit/src/world/checks.rs
@@ -92,12 +92,13 @@
     }
 
     /// What each team's tasks use, on whatever machine.
-    fn used(&self) -> BTreeMap<&str, f64> {
+    fn used(&self) -> BTreeMap<&str, (f64, f64)> {
         let mut used = BTreeMap::new();
         let machines = self.machines.values().filter(|m| !m.gone);
         for t in machines.flat_map(|m| m.live()) {
             if let Some(job) = self.jobs.get(job_of(&t.shard)) {
-                *used.entry(job.spec.owner.as_str()).or_insert(0.0) += t.cpus;
+                let team = used.entry(job.spec.owner.as_str()).or_insert((0.0, 0.0));
+                *team = (team.0 + t.cpus, team.1 + job.spec.accelerators);
             }
         }
         used
@@ -106,9 +107,12 @@
     pub(super) fn check_quota(&self) -> Result<(), String> {
         let used = self.used();
         for (team, limit) in &self.settings.teams {
-            let used = used.get(team.as_str()).copied().unwrap_or(0.0);
-            if used > limit.cpus_max + 1e-6 {
-                return Err(format!("quota: {team} uses {used}"));
+            let (cpus, gpus) = used.get(team.as_str()).copied().unwrap_or_default();
+            if cpus > limit.cpus_max + 1e-6 {
+                return Err(format!("quota: {team} uses {cpus}"));
+            }
+            if gpus > limit.gpus_max + 1e-6 {
+                return Err(format!("quota: {team} uses {gpus} accelerators"));
             }
         }
         Ok(())
@@ -167,9 +171,12 @@
                 _ => missing.min(1),
             };
             let limit = self.settings.teams.get(&spec.owner);
-            let left = limit.map_or(0.0, |l| l.cpus_max)
-                - used.get(spec.owner.as_str()).copied().unwrap_or(0.0);
-            if missing == 0 || left + 1e-6 < spec.vcpus * together as f64 {
+            let (cpus, gpus) = used.get(spec.owner.as_str()).copied().unwrap_or_default();
+            let left = limit.map_or(0.0, |l| l.cpus_max) - cpus;
+            let gpus_left = limit.map_or(0.0, |l| l.gpus_max) - gpus;
+            let over = left + 1e-6 < spec.vcpus * together as f64
+                || gpus_left + 1e-6 < spec.accelerators * together as f64;
+            if missing == 0 || over {
                 continue;
             }
             let fits = |m: &Machine, cpus: f64, memory: f64| {
