Let machines that are being emptied take work again once some waits for long

A machine chosen to be emptied took nothing more until its last task had ended, however long that ran, also when work came that had no room elsewhere and nothing could be rented.

--- a/crates/core/src/fleet/decider.rs
+++ b/crates/core/src/fleet/decider.rs
@@ -10,6 +10,8 @@
 
 /// Beyond one, this part of the machines may be emptied at a time.
 const EMPTIED_PART: usize = 20;
+/// Machines are emptied no further once work has waited so long for room.
+const WAITED_LONG: Micros = 20 * SECOND;
 /// Most machines in one rental request.
 const RENT_MOST: u64 = 50;
 /// Most machines of one offer in one round of the decider.
@@ -675,17 +677,38 @@
         }
     }
 
+    /// Work has waited long, and the others have no room for it: machines that are being emptied take
+    /// work again. They once stood half empty for as long as their last tasks took, while jobs waited
+    /// and nothing could be rented.
+    fn stop_emptying(&mut self, now: Micros) {
+        for m in self.machines.values_mut().filter(|m| m.emptying) {
+            if m.assignments.is_empty() || self.fleet.releasing.contains(&m.name) {
+                continue;
+            }
+            info!("{}: is not emptied any more, work waits", m.name);
+            m.emptying = false;
+            m.closing = false;
+            self.placement.want(now);
+        }
+    }
+
     /// Empties machines whose tasks have room elsewhere while nothing waits for room, so that they can be
     /// returned: tasks that can save move, the others run to their end. Ordinary machines
     /// go first, then the emptiest. A machine's worth of room is left over for what comes next.
     pub(super) fn consolidate(&mut self, cx: &mut Ctx) {
         let now = cx.now.steady;
         // Tasks that wait for their team's limit need no room.
-        let waits = self
+        let waiting = self
             .jobs
             .iter()
-            .any(|(ix, j)| j.placeable(now) > 0 && self.has_quota(cx, ix));
-        if waits || now.saturating_sub(self.loaded_at) < cx.tuning.idle_hold_us {
+            .filter(|(ix, j)| j.placeable(now) > 0 && self.has_quota(cx, *ix));
+        let longest = waiting
+            .map(|(_, j)| now.saturating_sub(j.waiting_since.unwrap_or(now)))
+            .max();
+        if longest.is_some_and(|waited| waited > WAITED_LONG) {
+            self.stop_emptying(now);
+        }
+        if longest.is_some() || now.saturating_sub(self.loaded_at) < cx.tuning.idle_hold_us {
             return;
         }
         let silence = cx.settings.report * 3;
@@ -752,6 +775,7 @@
             info!("{name}: being emptied, {} tasks move", stops.len());
             if let Some(m) = self.machines.get_mut(&name) {
                 m.closing = true;
+                m.emptying = true;
             }
             for (attempt, leeway) in stops {
                 self.stop_on(cx, &name, leeway, |a| a.attempt == attempt);
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -224,6 +224,7 @@
                 tally: m.tally,
                 knows_token: m.knows_token,
                 closing: m.closing,
+                emptying: m.emptying,
                 listed: m.listed,
                 hears: m.hears,
                 deaf_since: m.deaf_since,
@@ -269,10 +270,10 @@
             self.take_tasks(cx, &report, source);
         }
         if report.recall_s.is_some() {
-            self.drain_recalled(cx, &name);
             // Nothing is launched here any more: what waited for its record once waited on until
             // the machine was gone.
             self.free_unlaunched(cx, &name);
+            self.drain_recalled(cx, &name);
             self.move_replicas(cx, &name);
         }
         let mut deaf = false;
@@ -403,13 +404,13 @@
             if is && job.began_at.is_none() {
                 job.began_at = Some(job.age(at));
             }
+            if is && job.running == 0 {
+                job.running_well_since = at;
+            }
             job.running = match is {
                 true => job.running + 1,
                 false => job.running.saturating_sub(1),
             };
-            if is && job.running == 0 {
-                job.running_well_since = at;
-            }
             self.progress_dirty.insert(ix);
         }
     }
@@ -487,11 +488,11 @@
             ("error", Some(job)) => {
                 job.errors += 1;
                 job.retry_at = now + error_backoff(job.errors);
+                job.running_well_since = now;
                 m.failed(job);
                 info!("{shard}: error on {name}");
             }
             ("unknown", Some(job)) => {
-                job.running_well_since = now;
                 job.errors += 1;
                 job.retry_at = now + error_backoff(job.errors.max(3));
             }
--- a/crates/core/src/workers/machine.rs
+++ b/crates/core/src/workers/machine.rs
@@ -119,6 +119,8 @@
     pub fetch_gb_per_s: f64,
     /// To be returned: nothing is placed on it any more.
     pub closing: bool,
+    /// It is closing only to save its price: it takes work again if that waits for room.
+    pub emptying: bool,
     /// Jobs whose tasks failed in a row without a success, a name for each task.
     pub errors: Vec<String>,
     /// Nothing is placed on it before this time, after it refused a task.
@@ -164,6 +166,7 @@
                 .filter(|r| *r > 0.0)
                 .unwrap_or(1.0),
             closing: false,
+            emptying: false,
             errors: Vec::new(),
             shy_until: 0,
             kept_until: 0,
@@ -217,9 +220,10 @@
         self.errors.push(job.id.clone());
         let others = self.errors.iter().any(|id| *id != job.id);
         let often = self.errors.len() >= 4 && job.blamed < 2;
-        if (others || often) && !self.closing {
+        if (others || often) && (!self.closing || self.emptying) {
             warn!("{}: faulty, to be returned", self.name);
             self.closing = true;
+            self.emptying = false;
             job.blamed += u32::from(!others);
         }
         self.errors.truncate(8);
