Count what an unreadable job may have on machines, though it is not known how much

A new leader left out of the pages what belongs to a job whose record it cannot read: until a worker reported it, its room and its team's limit were given to others.

--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -13,7 +13,7 @@
 use crate::standby::Standby;
 use crate::stats::Stats;
 use crate::users::{absent, put};
-use crate::workers::{Assignment, Held, Machine, Parked, Seen};
+use crate::workers::{Assignment, Held, Machine, Parked, Seen, Stop};
 use crate::{Micros, Outcome, Stopwatch, Target, MILLI, SECOND};
 use grebewood_wire as wire;
 use grebewood_wire::http::{
@@ -455,6 +455,12 @@
         page_bytes(self.value_bytes)
     }
 
+    /// Whether a machine may have a task of a job whose record cannot be read.
+    pub(crate) fn has_unreadable_tasks(&self) -> bool {
+        let unknown = |m: &Machine| m.assignments.iter().any(|a| a.team.is_empty());
+        !self.corrupt.is_empty() && self.machines.values().any(unknown)
+    }
+
     /// Whether state has been read, so that the leader can act.
     pub fn loaded(&self) -> bool {
         self.loading.is_none()
--- a/crates/core/src/leadership/loading.rs
+++ b/crates/core/src/leadership/loading.rs
@@ -308,46 +308,55 @@
         self.page_mut(number);
         for m in page.machines {
             for (job_id, task, attempt) in m.t {
-                let Some(ix) = self.jobs.find(&job_id) else {
+                let ix = self.jobs.find(&job_id);
+                // Of a job whose record cannot be read it is not known what it takes, nor of which
+                // team: it is stopped, and nothing is placed until it is proven gone.
+                let unreadable = ix.is_none() && self.corrupt.contains(&job_key(&job_id));
+                if ix.is_none() && !unreadable {
                     // Its job is over; whatever still runs is stopped when the worker reports it.
                     continue;
-                };
+                }
                 // On two pages, after a move that was half written: this one drops it.
                 let known = self.machines.get(&m.m).is_some_and(|m| {
                     m.assignments
                         .iter()
-                        .any(|a| a.attempt == attempt && a.task == task && a.job == ix)
+                        .any(|a| a.attempt == attempt && a.task == task && a.job_id == job_id)
                 });
                 if known {
                     let due = cx.now.steady + SECOND;
                     self.ledger.touch_lazily(Rec::Page(number), due);
                     continue;
                 }
-                let Some(job) = self.jobs.get_mut(ix) else {
-                    continue;
-                };
-                job.take(task);
-                *job.zones.entry(m.zone.clone()).or_insert(0) += 1;
-                let spec = &job.spec;
+                let job = ix.and_then(|ix| self.jobs.get_mut(ix));
+                let spec = job.map(|job| {
+                    job.take(task);
+                    *job.zones.entry(m.zone.clone()).or_insert(0) += 1;
+                    job.spec.clone()
+                });
+                let spec = spec.as_ref();
                 let assignment = Assignment {
-                    job: ix,
+                    job: ix.unwrap_or(JobIx::MAX),
                     job_id,
                     task,
                     attempt,
                     tenure: m.tenure,
                     page: number,
                     written: 0,
-                    cpus: spec.vcpus,
-                    gpus: spec.accelerators,
-                    memory: spec.memory_gb,
-                    team: spec.owner.clone(),
+                    cpus: spec.map_or(0.0, |s| s.vcpus),
+                    gpus: spec.map_or(0.0, |s| s.accelerators),
+                    memory: spec.map_or(0.0, |s| s.memory_gb),
+                    team: spec.map_or(String::new(), |s| s.owner.clone()),
                     zone: m.zone.clone(),
                     launched: Some((0, 0)),
                     seen: Seen::Never,
                     decided: cx.now.steady,
                     started: None,
-                    expected: self.stats.expected_stay(spec),
-                    stop: None,
+                    expected: spec.map_or(SECOND, |s| self.stats.expected_stay(s)),
+                    stop: unreadable.then_some(Stop {
+                        leeway: 0,
+                        since: cx.now.steady,
+                        sent: None,
+                    }),
                 };
                 self.page_mut(number).add(&m.m, &assignment);
                 self.recovered_machine(cx, &m.m, &m.zone, m.tenure);
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -325,7 +325,7 @@
             // Rounds without news are needed only for what time itself changes.
             self.placement.next_at = now + SECOND;
         }
-        if now < self.placement.quarantine_until {
+        if now < self.placement.quarantine_until || self.has_unreadable_tasks() {
             return;
         }
         self.placement.wanted = false;
