Give room that is kept for services to work that has waited for long, also not for its beginning

When nothing more can be rented, the rest of an array waited beside that room for as long as there were services; only a job without any task had it after a minute. Now a job none of whose tasks was placed for 70 s has it too. And a gang that had waited a minute for its beginning was still not counted that room when it was looked whether all of it fits: it waited for good.

--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -23,6 +23,9 @@
 /// first must not starve the largest jobs.
 pub const BEGIN_AFTER: Micros = 60 * SECOND;
 
+/// A job none of whose tasks was placed for so long may take the room that is kept for services.
+const STARVES_AFTER: Micros = 70 * SECOND;
+
 /// A job that kept failing is tried with twice as many tasks for each such span without a failure.
 const TRIED_WELL: Micros = 10 * SECOND;
 
@@ -238,6 +241,8 @@
     pub run_mean: (Micros, u32),
     /// Since when tasks have been waiting without a place.
     pub waiting_since: Option<Micros>,
+    /// When a task was last placed.
+    pub placed_at: Micros,
     pub shape: Shape,
     /// Replicas of a daemon that ended by themselves: how often in a row, and when they are started
     /// again.
@@ -275,6 +280,7 @@
             done_pages: BTreeMap::new(),
             run_mean: (0, 0),
             waiting_since: Some(now),
+            placed_at: 0,
             shape: Shape::of(&record.spec).unwrap_or(Shape::Batch),
             pauses: BTreeMap::new(),
             shunned: BTreeMap::new(),
@@ -393,6 +399,13 @@
             && self.age(now) > BEGIN_AFTER
     }
 
+    /// Whether tasks have waited so long without any being placed that room which is kept for
+    /// services is theirs, too: with that much room in sight no job may wait for much longer.
+    pub fn starves(&self, now: Micros) -> bool {
+        let since = self.waiting_since.map(|at| at.max(self.placed_at));
+        since.is_some_and(|at| now.saturating_sub(at) > STARVES_AFTER)
+    }
+
     /// How many tasks a job begins with ahead of its turn; all of those that need to run together.
     pub fn beginning(&self) -> u64 {
         match self.shape {
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -461,8 +461,9 @@
                 && used.1 + spec.accelerators * n <= team.gpus_max + EPS
         };
         let shape = job.shape;
-        // What has waited too long for its beginning may take the room that is kept, too.
-        let service = shape == Shape::Daemon || job.must_begin(now);
+        // What has waited too long may take the room that is kept, too: not only for its beginning. The
+        // rest of an array once waited for minutes beside it when nothing more could be rented.
+        let service = shape == Shape::Daemon || job.must_begin(now) || job.starves(now);
         let expected = self.stats.expected_stay(&spec);
         // Places in `open`: for a replica first those where none ended by itself lately; those with the
         // image first, then those that wait for work at our door, then spot, then the fullest.
@@ -486,10 +487,16 @@
             })
             .collect();
         candidates.sort();
-        let fixed_zone = self.fixed_zone(ix, &spec, &candidates, open);
+        let fixed_zone = self.fixed_zone(ix, (&spec, service), &candidates, open);
         let mut together = None;
         if shape == Shape::Gang {
-            let room = self.gang_room(ix, &spec, &candidates, open, fixed_zone.as_deref());
+            let room = self.gang_room(
+                ix,
+                (&spec, service),
+                &candidates,
+                open,
+                fixed_zone.as_deref(),
+            );
             if room < left || !in_quota(used, left as f64) {
                 return;
             }
@@ -517,6 +524,7 @@
                     break 'machines;
                 };
                 job.take(task);
+                job.placed_at = now;
                 *job.zones.entry(zone.clone()).or_insert(0) += 1;
                 if job.waiting() == 0 {
                     job.waiting_since = None;
@@ -542,7 +550,7 @@
     fn gang_room(
         &self,
         ix: JobIx,
-        spec: &Submission,
+        (spec, service): (&Submission, bool),
         candidates: &[(Preference, usize)],
         open: &[Open],
         fixed_zone: Option<&str>,
@@ -551,7 +559,7 @@
             let n = self.jobs.get(ix).and_then(|j| j.zones.get(zone));
             n.copied().unwrap_or(0) as u64
         };
-        room_by_zone(spec, candidates, open)
+        room_by_zone(spec, service, candidates, open)
             .into_iter()
             .filter(|(zone, _)| fixed_zone.is_none_or(|z| z == *zone))
             .map(|(zone, n)| {
@@ -568,7 +576,7 @@
     fn fixed_zone(
         &self,
         ix: JobIx,
-        spec: &Submission,
+        (spec, service): (&Submission, bool),
         candidates: &[(Preference, usize)],
         open: &[Open],
     ) -> Option<String> {
@@ -579,7 +587,7 @@
         if let Some(zone) = job.bound_zone() {
             return Some(zone.to_string());
         }
-        room_by_zone(spec, candidates, open)
+        room_by_zone(spec, service, candidates, open)
             .into_iter()
             .max_by_key(|(_, n)| *n)
             .map(|(z, _)| z.to_string())
@@ -875,13 +883,13 @@
 /// Free slots by zone, among the candidates.
 fn room_by_zone<'a>(
     spec: &Submission,
+    service: bool,
     candidates: &[(Preference, usize)],
     open: &'a [Open],
 ) -> BTreeMap<&'a str, u64> {
     let mut zones: BTreeMap<&str, u64> = BTreeMap::new();
     for (_, at) in candidates {
         let o = &open[*at];
-        let service = Shape::of(spec) == Some(Shape::Daemon);
         *zones.entry(&o.zone).or_insert(0) += slots(o.room(service), spec);
     }
     zones
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -1692,7 +1692,10 @@
             "starts" if line.word(1)? == "once" => {
                 let again = |(_, j): &(&String, &JobSeen)| j.starts != j.spec.shards;
                 if let Some((id, j)) = self.jobs.iter().find(again) {
-                    return Err(format!("{id}: {} starts of {} tasks", j.starts, j.spec.shards));
+                    return Err(format!(
+                        "{id}: {} starts of {} tasks",
+                        j.starts, j.spec.shards
+                    ));
                 }
             }
             "starts" => {
