--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -32,7 +32,6 @@
 //! at 5  expect JOB STATUS                   a poll at every node that is up gives this status;
 //!                                           live: pending or running
 //! at 5  starts JOB N                        its tasks came onto machines N times so far
-//! at 5  starts once                         each task of every job came onto a machine exactly once so far
 //! at 5  leaders N                           so many nodes lead
 //! at 5  machines N                          so many machines are rented
 //! at 5  request METHOD PATH STATUS [BODY]   a raw request at every node; BODY: hex digits
