Take back hires that a late transaction put on record again

The condition of a hire's first write is that there is no such record. If that write gets no answer, is written again and the hire then dropped and its record deleted, the condition holds once more, and the first write, carried out after all, puts the record back. The leader never looked at it again; the next one would rent by it, or count machines that were given back long ago as booting.

After a flush without an answer that wrote a hire, the leader lists the hires on record every 20 s for five minutes, and deletes those that are none of its own. Other records of the leader are never deleted, or go in one transaction with a past/ record that stays, so none of them can come back so.

--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -192,6 +192,9 @@
     /// Machines with a direct call under way, and when the last one was sent.
     pub direct: BTreeMap<String, Micros>,
     flush_failures: u32,
+    /// When the hires on record are next compared with ours, and until when that goes on.
+    sweep_at: Micros,
+    sweep_until: Micros,
     corrupt: Vec<String>,
     /// Jobs said to be cancelled whose cancellation was not found on record; whether they are over
     /// is yet to be read.
@@ -445,6 +448,8 @@
             heard_at: now,
             direct: BTreeMap::new(),
             flush_failures: 0,
+            sweep_at: 0,
+            sweep_until: 0,
             corrupt: Vec::new(),
             unproven: BTreeSet::new(),
         }
@@ -636,6 +641,7 @@
             }
         }
         self.run_flush(cx);
+        self.run_sweep(cx);
         self.run_held(cx);
         if now >= self.progress_at {
             self.progress_at = now + PROGRESS;
--- a/crates/core/src/leadership/flush.rs
+++ b/crates/core/src/leadership/flush.rs
@@ -7,6 +7,9 @@
 const LEAST_VALUE: usize = 700;
 /// How long a record waits that the state service refused alone.
 const REFUSED_PAUSE: Micros = 5 * SECOND;
+/// How often, and for how long after a flush without an answer, hires on record are compared.
+const SWEEP: Micros = 20 * SECOND;
+const SWEEP_FOR: Micros = 300 * SECOND;
 /// How long the parts of a page that is too large may wait: what is new goes first.
 const SPLIT_DELAY: Micros = 500 * MILLI;
 
@@ -333,11 +336,52 @@
                 let keys = batch.txn.apply.iter().map(|c| c.key().to_string());
                 self.ledger.stale.extend(keys);
                 self.flush_failed(cx);
+                if batch.recs.iter().any(|(r, _)| matches!(r, Rec::Hire(_))) {
+                    let now = cx.now.steady;
+                    self.sweep_at = now + SWEEP;
+                    self.sweep_until = now + SWEEP_FOR;
+                }
             }
         }
         Ok(())
     }
 
+    /// A hire that was written by a flush without an answer, written again and then deleted is put
+    /// back if the first flush is carried out after all: its condition, that there is no such
+    /// record, holds again. The next leader would rent by it. So what is on record is looked
+    /// through for a while.
+    pub(super) fn run_sweep(&mut self, cx: &mut Ctx) {
+        let now = cx.now.steady;
+        if now < self.sweep_at || now > self.sweep_until {
+            return;
+        }
+        self.sweep_at = now + SWEEP;
+        let pending = self.pending(LeadCall::List { prefix: HIRE });
+        let path = format!("/kv?prefix={HIRE}&page=200");
+        cx.call(
+            Target::State,
+            "GET",
+            path,
+            Vec::new(),
+            STATE_TIMEOUT,
+            pending,
+        );
+    }
+
+    /// Deletes hires on record that are none of ours.
+    pub(super) fn on_sweep(&mut self, cx: &mut Ctx, list: Option<EntryList>) {
+        for e in list.map(|list| list.entries).unwrap_or_default() {
+            let name = e.k.strip_prefix(HIRE).unwrap_or_default();
+            if self.fleet.hire_record(name).is_some() || self.ledger.stamps.contains_key(&e.k) {
+                continue;
+            }
+            warn!("record {}: put back by a late transaction", e.k);
+            self.ledger.stamps.insert(e.k.clone(), e.stamp);
+            self.ledger
+                .touch(Rec::Hire(name.to_string()), cx.now.steady);
+        }
+    }
+
     /// Takes the stamp of a key that differs from what we knew: an earlier transaction of ours
     /// was applied after all.
     pub(super) fn on_refresh(&mut self, cx: &mut Ctx, key: &str, outcome: Outcome) {
--- a/crates/core/src/leadership/loading.rs
+++ b/crates/core/src/leadership/loading.rs
@@ -61,7 +61,10 @@
             _ => Err(wire::DecodeError("no answer".into())),
         };
         let Some(loading) = &mut self.loading else {
-            return self.on_relist(cx, prefix, list.ok());
+            return match prefix {
+                HIRE => self.on_sweep(cx, list.ok()),
+                _ => self.on_relist(cx, prefix, list.ok()),
+            };
         };
         match list {
             Ok(list) => {
