--- a/crates/testkit/src/world/troubles.rs
+++ b/crates/testkit/src/world/troubles.rs
@@ -492,7 +492,7 @@
         let lost = &mut self.troubles.lost;
         match (caller.process, path, status) {
             (0, "/txn", 200) => lost.0 += 1,
-            (0, "/txn", 409) => lost.1 += 1,
+            (0, "/txn", 400 | 409) => lost.1 += 1,
             _ => {}
         }
     }
