One read of an end answers all who ask about it

Users look at every node at once, again and again, when a job ends. Each question read the job's past/ record until the first reply was there, and the view took what was left of the node's reads: questions and cancellations were refused for lack of them. Now those that come while the record is read join the read. An end answers them too; that there is none does not, since the job may have been accepted and have ended after the read was sent: they are read for again. The view takes half of the node's reads at most, which only makes a difference below some 140 requests a second.

That the joined ones are not answered by a 404 is from thinking alone: no scenario fails without it.

--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -3,7 +3,7 @@
 use crate::cancellations::Cancellations;
 use crate::leadership::{Election, Lead};
 use crate::pace::Bucket;
-use crate::users::{PastJobs, UserCall};
+use crate::users::{PastJobs, PastReads, UserCall};
 use crate::view::{View, ViewCall};
 use crate::{
     fleet, leadership, Call, Door, Effect, Input, Micros, Now, Outcome, Settings, Stopwatch,
@@ -191,6 +191,7 @@
     pub election: Election,
     pub lead: Option<Box<Lead>>,
     pub past: PastJobs,
+    pub past_reads: PastReads,
     pub view: View,
     /// What the leader last said of live jobs: completed and running tasks.
     pub progress: BTreeMap<String, (u64, u64)>,
@@ -233,6 +234,7 @@
             cx,
             lead: None,
             past: PastJobs::new(20_000),
+            past_reads: PastReads::new(),
             view: View::default(),
             progress: BTreeMap::new(),
             catalogue_at: 0,
--- a/crates/core/src/pace.rs
+++ b/crates/core/src/pace.rs
@@ -69,6 +69,11 @@
         now + (missing / self.rate.max(1e-6) * SECOND as f64).ceil() as Micros
     }
 
+    /// How long `n` tokens take to come.
+    pub fn time_for(&self, n: f64) -> Micros {
+        (n / self.rate.max(1e-6) * SECOND as f64).ceil() as Micros
+    }
+
     /// Empties the bucket, as after an answer 429.
     pub fn drain(&mut self, now: Micros) {
         self.refill(now);
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -88,6 +88,9 @@
     }
 }
 
+/// Reads of ends that are under way, by job: requests that came in after the read was sent.
+pub type PastReads = BTreeMap<String, Vec<UserCall>>;
+
 impl Node {
     pub(crate) fn on_submission(&mut self, id: u64, body: &[u8]) {
         let (job, submission) = match read_submission(body) {
@@ -180,6 +183,12 @@
         if call.stage == Stage::View {
             return self.wait_for_view(call);
         }
+        // Users ask about the same end many times at once: one read answers them all.
+        if call.stage == Stage::ReadPast {
+            if let Some(joined) = self.past_reads.get_mut(&call.job) {
+                return joined.push(call);
+            }
+        }
         if !self.cx.reads.take(now, 1.0) {
             return self.cx.refuse(call.request, 429, "too many requests");
         }
@@ -216,6 +225,7 @@
             Stage::View => {}
             Stage::ReadPast => {
                 let key = format!("{PAST}{}", call.job);
+                self.past_reads.insert(call.job.clone(), Vec::new());
                 self.cx.read_key(&key, Pending::User(call));
             }
         }
@@ -227,6 +237,9 @@
             Outcome::Unknown => (0, Vec::new()),
             Outcome::NotSent => (503, Vec::new()),
         };
+        if call.stage == Stage::ReadPast {
+            self.past_read(&call.job, status, &body);
+        }
         match (call.stage, status) {
             (Stage::Accept, 200) => {
                 let accepted = Accepted {
@@ -270,6 +283,22 @@
         }
     }
 
+    /// A read of an end was answered. An end that is there answers those too who joined it; that there
+    /// is none does not: the job may have been accepted and have ended since.
+    fn past_read(&mut self, job: &str, status: u16, body: &[u8]) {
+        let joined = self.past_reads.remove(job).unwrap_or_default();
+        let found = match status {
+            200 => wire::from_cbor::<Entry<PastRecord>>(body).ok(),
+            _ => None,
+        };
+        for call in joined {
+            match &found {
+                Some(entry) => self.user_past(call, &entry.value),
+                None => self.user_send(call),
+            }
+        }
+    }
+
     pub(crate) fn user_found_live(&mut self, mut call: UserCall) {
         match call.ask {
             Ask::Cancel if self.cx.writes.take(self.cx.now.steady, 1.0) => {
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -169,7 +169,8 @@
             v.restart();
         }
         v.busy = true;
-        v.next_at = now + INTERVAL;
+        // It takes half of the reads at most: the rest is for ends, submissions and cancellations.
+        v.next_at = now + INTERVAL.max(self.cx.reads.time_for(2.0));
         v.refresh_at = now + REFRESH;
         let (path, what) = match (v.unread.first(), v.since) {
             (Some(prefix), _) => {
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -1174,6 +1174,7 @@
                 _ => {}
             },
             Asker::Poll(job, sent) => {
+                self.count_refusal(status);
                 if status == 404 {
                     self.denied(&job, sent, status)?;
                 }
--- a/crates/testkit/src/world/troubles.rs
+++ b/crates/testkit/src/world/troubles.rs
@@ -46,6 +46,8 @@
     late_txns: Option<LateTxns>,
     /// Transactions without an answer that were carried out, and that failed on their conditions.
     lost: (u64, u64),
+    /// Questions that were refused for now.
+    refusals: u64,
     /// By machine; none: every machine.
     copies: BTreeMap<Option<String>, Copies>,
     kept: BTreeMap<String, Kept>,
@@ -171,6 +173,12 @@
                     return Err(format!("{done} were carried out, {failed} failed"));
                 }
             }
+            ("refusals", _) => {
+                let (got, most) = (self.troubles.refusals, line.number("most", 0.0)? as u64);
+                if got > most {
+                    return Err(format!("{got} questions were refused"));
+                }
+            }
             ("ends", _) => self.check_ends(line)?,
             ("looks", _) => self.troubles.looks_until = now + line.time("for", 20.0)?,
             ("slow", "state") => {
@@ -487,6 +495,11 @@
         Ok(())
     }
 
+    /// Counts a question that is refused for now.
+    pub(super) fn count_refusal(&mut self, status: u16) {
+        self.troubles.refusals += u64::from(matches!(status, 429 | 503));
+    }
+
     /// Counts a transaction that gets no answer.
     pub(super) fn count_lost(&mut self, caller: Caller, path: &str, status: u16) {
         let lost = &mut self.troubles.lost;
