--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -73,6 +73,7 @@
 //! at 5  late report MACHINE for=10          a copy of its next report arrives late
 //! at 5  overtake report MACHINE for=1.5     its next report is so long on its way, and the answer to a
 //!                                           direct command must overtake it
+//! at 5  slow launch MACHINE for=1.5        the next answer to it that carries a launch takes so long
 //! at 5  lose answer MACHINE                 the answer to its next report is lost
 //! at 5  unplug MACHINE|all for=30           nothing reaches it or comes from it; its tasks go on
 //! at 5  deaf MACHINE|all for=30             its reports arrive, no answer or command reaches it
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -192,6 +192,7 @@
     checks: Checks,
     late_report: BTreeMap<String, Micros>,
     overtake_report: BTreeMap<String, Micros>,
+    slow_launch: BTreeMap<String, Micros>,
     lose_answer: BTreeSet<String>,
     expected: u64,
     met: u64,
@@ -290,6 +291,7 @@
             checks: Checks::default(),
             late_report: BTreeMap::new(),
             overtake_report: BTreeMap::new(),
+            slow_launch: BTreeMap::new(),
             lose_answer: BTreeSet::new(),
             expected: 0,
             met: 0,
@@ -1234,6 +1236,15 @@
                 }
             }
             Asker::Worker { machine, flight } => {
+                let launches = |a: CheckinAnswer| a.orders.iter().any(|o| o.verb == "launch");
+                if self.slow_launch.contains_key(&machine)
+                    && from_cbor::<CheckinAnswer>(&body).is_ok_and(launches)
+                {
+                    let late = self.slow_launch.remove(&machine).unwrap_or(0);
+                    let ev = Ev::Answered(Asker::Worker { machine, flight }, node, status, body);
+                    self.push(self.now + late, ev);
+                    return Ok(());
+                }
                 if let Some(at) = self.arrival(node, "workers", MS) {
                     if at > self.now + S {
                         return Ok(()); // the worker drops it
@@ -1812,6 +1823,10 @@
                 let name = line.word(2)?.to_string();
                 self.late_report.insert(name, line.time("for", 10.0)?);
             }
+            "slow" => {
+                let late = line.time("for", 1.5)?;
+                self.slow_launch.insert(line.word(2)?.into(), late);
+            }
             "overtake" => {
                 let late = line.time("for", 1.0)?;
                 self.overtake_report.insert(line.word(2)?.into(), late);
