Send releases before rents, which may take all calls that the cloud's limit leaves

A cancelled task on a machine that cannot be reached waits for the release. Unit test, seen to fail with the order as it was (by reading; 20 hires without an outcome and one call left).

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -215,8 +215,10 @@
 
     pub(crate) fn run_fleet(&mut self, cx: &mut Ctx) {
         let now = cx.now.steady;
-        self.send_hires(cx);
+        // A release may be what a cancellation waits for. Hires without an outcome, each asked for anew
+        // after a second, could take all calls that the cloud's limit leaves.
         self.send_releases(cx);
+        self.send_hires(cx);
         if now >= self.fleet.list_at && !self.fleet.list_busy && cx.cloud.take(now, 1.0) {
             self.fleet.list_busy = true;
             let since = match &self.fleet.list_since {
@@ -632,3 +634,6 @@
         (mean as f64 * cx.tuning.boot_overdue) as Micros + 2 * SECOND
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -324,7 +324,7 @@
         self.election.next_probe = self.cx.now.steady + 100 * MILLI;
     }
 
-    fn become_leader(&mut self, token: u64, lease: u64) {
+    pub(crate) fn become_leader(&mut self, token: u64, lease: u64) {
         info!("leader with token {token}");
         self.cx.token = self.cx.token.max(token);
         self.election.grant = self.election.grant.max(token);
--- a/crates/core/src/leadership/contact/tests.rs
+++ b/crates/core/src/leadership/contact/tests.rs
@@ -1,57 +1,8 @@
 use super::*;
-use crate::settings::{Sibling, StateLimits};
-use crate::{Door, Effect, Input, NoStopwatch, Now, Settings, Tuning};
+use crate::test_support::{clocks, pass, unread_leader, WALL};
+use crate::{Door, Effect, Input, NoStopwatch};
 use grebewood_wire::http::{CheckinAnswer, Order, Precedence, Report, ShardReport, Submission};
 
-const WALL: u64 = 1_700_000_000 * SECOND;
-
-/// A node that has its grant, and has read nothing yet.
-fn unread_leader(now: Micros) -> Node {
-    let settings = Settings {
-        member: "perch-0".into(),
-        zone: "a".into(),
-        siblings: vec![Sibling {
-            member: "perch-1".into(),
-            zone: "a".into(),
-        }],
-        teams: BTreeMap::new(),
-        objectives: Vec::new(),
-        report: 1_500 * MILLI,
-        lease: 10 * SECOND,
-        cancel: 30 * SECOND,
-        state: StateLimits {
-            rps: 100.0,
-            write_rps: 20.0,
-            value_bytes: 4096,
-            txn_ops: 8,
-        },
-        cloud_rps: 8.0,
-        list_lag: 3 * SECOND,
-    };
-    let mut node = Node::new(settings, Tuning::default(), 1);
-    tick(&mut node, now);
-    node.become_leader(7, 1);
-    node
-}
-
-fn clocks(now: Micros) -> Now {
-    Now {
-        steady: now,
-        wall: WALL + now,
-    }
-}
-
-fn tick(node: &mut Node, now: Micros) {
-    node.step(clocks(now), Input::Tick, &mut NoStopwatch);
-}
-
-/// Time passes, in small steps: a long one would be a standstill.
-fn pass(node: &mut Node, from: Micros, to: Micros) {
-    for now in (from..to).step_by(500 * MILLI as usize) {
-        tick(node, now);
-    }
-}
-
 /// What a worker with a task of `req-1` is answered.
 fn check_in(node: &mut Node, now: Micros, tally: u64) -> (u16, Vec<Order>) {
     let report = Report {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod settings;
 pub mod standby;
 pub mod stats;
+#[cfg(test)]
+mod test_support;
 pub mod users;
 pub mod view;
 pub mod workers;
