A repeated submission of a job that ended lately costs no write

A submission of a job that the node's view does not show as live was sent as a new one, which fails and is counted by the state service all the same. When users submit again as a job ends, these took the node's share of writes, and questions and cancellations were refused for a second. The view remembers the last 500 jobs that it saw end; they were accepted for certain, so their repeats are looked up.

--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -131,7 +131,7 @@
             rounds: 0,
         };
         // One that was accepted costs no write, however often it is repeated.
-        if !possible || self.view.get(&call.job).is_some_and(|j| j.stamp > 0) {
+        if !possible || self.view.knows(&call.job) {
             call.stage = Stage::View;
             return self.user_send(call);
         }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -15,7 +15,7 @@
 use grebewood_wire::records::{CancelRecord, JobKey, JobRecord, JOB, OLD_CANCEL};
 use grebewood_wire::Value;
 use log::{debug, error};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// A request of the view to the state service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,10 +48,15 @@
 /// came again a second later and later.
 const LONG_PATIENCE: Micros = 3_400 * MILLI;
 
+/// So many ends are remembered.
+const MOST_ENDED: usize = 500;
+
 /// The view.
 #[derive(Debug, Default)]
 pub struct View {
     live: BTreeMap<String, LiveJob>,
+    /// Jobs that were seen to end, the latest ones: a repeat of their submission costs no write.
+    ended: VecDeque<String>,
     /// Up to date as of this revision; while the view is read, that of the first page.
     since: Option<u64>,
     /// Prefixes yet to be read, and where the list of the first one goes on.
@@ -125,10 +130,20 @@
     fn delete(&mut self, key: &str) {
         // A cancellation goes with its job, in one transaction.
         if let Some(JobKey::Live(id)) = JobKey::parse(key) {
-            self.live.remove(id);
+            if self.live.remove(id).is_some() {
+                self.ended.push_back(id.to_string());
+                if self.ended.len() > MOST_ENDED {
+                    self.ended.pop_front();
+                }
+            }
         }
     }
 
+    /// Whether the job was accepted for certain: it is live, or was seen to end lately.
+    pub fn knows(&self, id: &str) -> bool {
+        self.live.get(id).is_some_and(|j| j.stamp > 0) || self.ended.iter().any(|e| e == id)
+    }
+
     fn restart(&mut self) {
         self.built = false;
         self.live.clear();
