Let the testkit's links to workers be slow

`slow workers for= by=`: messages between controllers and workers take longer, each way; beyond a second direct commands time out and answers to check-ins come late.

--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -70,6 +70,8 @@
 //!                                           of=JOB confirmed=3: of so many the cancellation is confirmed
 //! at 5  slow state for=20 by=0.8            its answers take that much longer; what is asked is carried
 //!                                           out as ever
+//! at 5  slow workers for=20 by=0.5          messages between controllers and workers take that much
+//!                                           longer, each way
 //! at 5  late report MACHINE for=10          a copy of its next report arrives late
 //! at 5  overtake report MACHINE for=1.5     its next report is so long on its way, and the answer to a
 //!                                           direct command must overtake it
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -87,6 +87,8 @@
     /// The limits of the state service change.
     Limits(StateLimits),
     Answered(Asker, usize, u16, Vec<u8>),
+    /// The answer to a check-in, by machine and flight, reaches its worker over a slow link.
+    WorkerAnswer(String, u64, usize, u16, Vec<u8>),
     /// A late copy of a report, for whoever leads then, or for every node.
     Copy {
         body: Vec<u8>,
@@ -713,6 +715,9 @@
                 Ok(())
             }
             Ev::Answered(asker, node, status, body) => self.answered(asker, node, status, body),
+            Ev::WorkerAnswer(machine, flight, node, status, body) => {
+                self.worker_answer(&machine, flight, node, status, &body)
+            }
             Ev::Copy { body, to_all } => {
                 self.copy_arrives(body, to_all);
                 Ok(())
@@ -836,6 +841,7 @@
 
     /// When a message over this link arrives: never if the link is cut, late if the cut holds it.
     fn arrival(&self, node: usize, what: &str, delay: Micros) -> Option<Micros> {
+        let delay = delay + self.link_delay(what);
         let cut = self
             .cuts
             .iter()
@@ -1246,9 +1252,15 @@
                     return Ok(());
                 }
                 if let Some(at) = self.arrival(node, "workers", MS) {
-                    if at > self.now + S {
+                    let slow = self.link_delay("workers");
+                    if at > self.now + slow + S {
                         return Ok(()); // the worker drops it
                     }
+                    if slow > 0 {
+                        let ev = Ev::WorkerAnswer(machine, flight, node, status, body);
+                        self.push(at, ev);
+                        return Ok(());
+                    }
                     return self.worker_answer(&machine, flight, node, status, &body);
                 }
             }
--- a/crates/testkit/src/world/tests.rs
+++ b/crates/testkit/src/world/tests.rs
@@ -649,6 +649,16 @@
     assert_eq!(answered(&mut w, "workers"), Some(2 * MS));
     w.now += 5 * S;
     assert_eq!(answered(&mut w, "state"), Some(2 * MS));
+    w.script(Line {
+        words: vec!["slow".into(), "workers".into()],
+        options: BTreeMap::from([("by".into(), "0.7".into()), ("for".into(), "5".into())]),
+        ..Line::default()
+    })
+    .expect("a trouble");
+    assert_eq!(answered(&mut w, "state"), Some(2 * MS));
+    assert_eq!(answered(&mut w, "workers"), Some(702 * MS));
+    w.now += 5 * S;
+    assert_eq!(answered(&mut w, "workers"), Some(2 * MS));
 }
 
 #[test]
--- a/crates/testkit/src/world/troubles.rs
+++ b/crates/testkit/src/world/troubles.rs
@@ -65,6 +65,8 @@
     /// What was looked at already: each thing once a job.
     looked: BTreeSet<(String, &'static str)>,
     slow_state: (Micros, Micros),
+    /// Until then messages between controllers and workers take that much longer, each way.
+    slow_links: (Micros, Micros),
     /// The next node that confirms a cancellation crashes for so long.
     trap_confirm: Option<Micros>,
     /// The state service is down for so long right after the next grant.
@@ -185,6 +187,10 @@
                 let until = now + line.time("for", 20.0)?;
                 self.troubles.slow_state = (until, line.time("by", 0.8)?);
             }
+            ("slow", "workers") => {
+                let until = now + line.time("for", 20.0)?;
+                self.troubles.slow_links = (until, line.time("by", 0.5)?);
+            }
             ("trap", "confirm") => {
                 self.troubles.trap_confirm = Some(line.time("for", 0.3)?);
             }
@@ -199,6 +205,15 @@
         Ok(true)
     }
 
+    /// What a message between a controller and a worker takes longer.
+    pub(super) fn link_delay(&self, what: &str) -> Micros {
+        let (until, by) = self.troubles.slow_links;
+        match what == "workers" && self.now < until {
+            true => by,
+            false => 0,
+        }
+    }
+
     /// The machines that a line names: one, all, or those that hold a task of a job (`of=JOB`).
     fn machines_of(&self, line: &Line) -> Result<Vec<String>, String> {
         let names = |holds: &dyn Fn(&Machine) -> bool| -> Vec<String> {
