Keep what is left of a team's limit for a job that has waited long and needs more of it

Narrow tasks of the team took each part of its limit as it became free, while a job of wide ones, or a gang, waited for as long as they came, with room on machines all the while. A gang's limit is looked at for all of it.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -69,6 +69,9 @@
 const PROD_AHEAD: Micros = 60 * SECOND;
 const HIGH_AHEAD: Micros = 10 * SECOND;
 
+/// What is left of a team's limit is kept for a job that waits only if enough is freed so soon.
+const KEPT_FOR: Micros = 60 * SECOND;
+
 /// State of the rounds.
 #[derive(Clone, Debug, Default)]
 pub struct Placement {
@@ -333,7 +336,23 @@
         let mut open = self.open_machines(cx);
         self.keep_standby(cx, &mut open);
         let mut order = queue.clone();
-        order.retain(|ix| self.has_quota(cx, *ix));
+        // What is left of a team's limit is kept for a job that has waited long and needs more of it:
+        // narrow tasks once took it as it became free, and a job of wide ones, or a gang, never began.
+        let mut kept: BTreeSet<String> = BTreeSet::new();
+        order.retain(|ix| {
+            let Some(job) = self.jobs.get(*ix) else {
+                return false;
+            };
+            if kept.contains(&job.spec.owner) {
+                return false;
+            }
+            let has = self.has_quota(cx, *ix);
+            let waits = job.must_begin(now) || job.starves(now);
+            if !has && waits && job.placeable(now) > 0 && self.has_quota_soon(cx, *ix) {
+                kept.insert(job.spec.owner.clone());
+            }
+            has
+        });
         if let Some(from) = self.placement.resume.take() {
             if let Some(at) = order.iter().position(|ix| *ix == from) {
                 order.rotate_left(at);
@@ -360,18 +379,42 @@
         }
     }
 
-    /// Whether the job's team may have one more of its tasks.
+    /// Whether the job's team may have one more of its tasks; all that wait of a gang.
     pub(crate) fn has_quota(&self, cx: &Ctx, ix: JobIx) -> bool {
-        let Some(spec) = self.jobs.get(ix).map(|j| &j.spec) else {
-            return false;
+        let job = self.jobs.get(ix);
+        job.is_some_and(|job| self.fits_limit(cx, job, (0.0, 0.0)))
+    }
+
+    /// Whether a task of the job, or a whole gang, is within its team's limit once so much is freed.
+    fn fits_limit(&self, cx: &Ctx, job: &Job, freed: (f64, f64)) -> bool {
+        let spec = &job.spec;
+        let n = match job.shape {
+            Shape::Gang => job.waiting().max(1) as f64,
+            _ => 1.0,
         };
         let used = self.usage.get(&spec.owner).copied().unwrap_or((0.0, 0.0));
         cx.settings.teams.get(&spec.owner).is_some_and(|t| {
-            used.0 + spec.vcpus <= t.cpus_max + EPS
-                && used.1 + spec.accelerators <= t.gpus_max + EPS
+            used.0 - freed.0 + spec.vcpus * n <= t.cpus_max + EPS
+                && used.1 - freed.1 + spec.accelerators * n <= t.gpus_max + EPS
         })
     }
 
+    /// Whether the team may have one more of the job's tasks, or a whole gang, once what of the team's
+    /// is about to end has ended.
+    fn has_quota_soon(&self, cx: &Ctx, ix: JobIx) -> bool {
+        let Some(job) = self.jobs.get(ix) else {
+            return false;
+        };
+        let (spec, now) = (&job.spec, cx.now.steady);
+        let ending = self
+            .machines
+            .values()
+            .flat_map(|m| &m.assignments)
+            .filter(|a| a.team == spec.owner && a.remaining(now, 0) < KEPT_FOR);
+        let ending = ending.fold((0.0, 0.0), |sum, a| (sum.0 + a.cpus, sum.1 + a.gpus));
+        self.fits_limit(cx, job, ending)
+    }
+
     /// Machines with free room.
     fn open_machines(&self, cx: &Ctx) -> Vec<Open> {
         let now = cx.now.steady;
@@ -452,7 +495,7 @@
             return;
         }
         // Ahead of its turn a job only begins.
-        if job.must_begin(cx.now.steady) {
+        if job.must_begin(now) {
             left = left.min(job.beginning());
         }
         let spec = job.spec.clone();
