Serve a job that has not got any further for 70 s before others of normal priority

Under sustained overload, a large array of normal priority kept all idle work of its team from being served: each such job began after a minute, with one task, and never went on. What is free goes to jobs none of whose tasks was placed for 70 s, the longest first, after `prod` and `high` and before what is within guarantees, then normal, then idle: once, and then again after 70 s.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -275,7 +275,8 @@
 
     /// The order in which waiting jobs are served: first the beginning of jobs that have waited
     /// long for one; then by priority, with those within their team's guarantee after the high
-    /// ones and before all others, where an aim counts how soon they start; those that can still meet an aim before those that cannot;
+    /// ones and before all others, where an aim counts how soon they start; before these what has
+    /// waited long without getting any further; those that can still meet an aim before those that cannot;
     /// then those with the least work left, since that lets the most jobs meet their aims when not
     /// all of them can.
     fn queue(&self, cx: &Ctx) -> Vec<JobIx> {
@@ -304,9 +305,12 @@
                 let level = match j.spec.precedence {
                     Precedence::Prod => 1,
                     Precedence::High => 2,
-                    _ if guaranteed.contains(&ix) => 3,
-                    Precedence::Normal => 4,
-                    Precedence::Idle => 5,
+                    // What is free now, to the one that has waited longest: a large array of higher
+                    // priority once kept all of a class from being served.
+                    _ if j.starves(now) => return ((3, false, j.placed_at as i64), ix),
+                    _ if guaranteed.contains(&ix) => 4,
+                    Precedence::Normal => 5,
+                    Precedence::Idle => 6,
                 };
                 ((level, !feasible, work), ix)
             })
