Give boots the published time at least, and more when one after the other is given up

Where machines had been up within a second or two for a while, the average learnt from them said that a boot of usual length was overdue: each was released before it could come up and rented anew, for good, since the average learns only from those that come up. So did boots that all took more than three times what is published. Overdue is now counted from no less than the published time, and doubles for each ten boots of a type in a row that were given up, up to eightfold; one that comes up resets it.

boots_fast_then_slow fails without the first (pending at 125 s) and without the second (at 620 s).

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -28,6 +28,8 @@
 
 /// How long the removal of what was on a released machine may wait to be written.
 const RELEASED_DELAY: Micros = 2 * SECOND;
+/// So many boots of a type given up in a row double the time that the next ones get.
+const GIVEN_UP: u32 = 10;
 /// Most names in one release.
 const RELEASE_MOST: usize = 100;
 const CLOUD_TIMEOUT: Micros = 4 * SECOND;
@@ -84,6 +86,8 @@
     types_busy: bool,
     /// Offers without capacity, until when, and how often in a row.
     unavailable: BTreeMap<Offer, (Micros, u32)>,
+    /// Boots of each type that were given up since one came up.
+    given_up: BTreeMap<String, u32>,
     /// When the last list was taken in whole.
     listed_at: Option<Micros>,
     started: Micros,
@@ -108,6 +112,7 @@
             types_at: now + 60 * SECOND,
             types_busy: false,
             unavailable: BTreeMap::new(),
+            given_up: BTreeMap::new(),
             listed_at: None,
             started: now,
         }
@@ -200,6 +205,7 @@
             if !boot.up {
                 let took = now.saturating_sub(boot.requested);
                 info!("{}: up after {} s", report.perch, took / SECOND);
+                self.fleet.given_up.remove(&boot.machine_type);
                 if let Some(t) = cx.machine_type(&boot.machine_type) {
                     self.stats
                         .booted(&boot.machine_type, micros(t.startup_s), took);
@@ -621,17 +627,26 @@
         for name in release {
             if self.fleet.release(&name, now) {
                 info!("{name}: did not come up, released");
+                if let Some(boot) = self.fleet.boots.get(&name).filter(|b| !b.up) {
+                    let machine_type = boot.machine_type.clone();
+                    *self.fleet.given_up.entry(machine_type).or_insert(0) += 1;
+                }
             }
         }
     }
 
-    /// How long a boot may take before it counts for nothing.
+    /// How long a boot may take before it counts for nothing: by the average, but not by one that was
+    /// learnt while machines were up within seconds. Boots of usual length were once all given up
+    /// after that, for good, since none came up to be learnt from. For the same reason a type gets
+    /// more time when one boot after the other is given up.
     fn overdue_after(&self, cx: &Ctx, machine_type: &str) -> Micros {
         let startup = cx
             .machine_type(machine_type)
             .map_or(30 * SECOND, |t| micros(t.startup_s));
-        let mean = self.stats.boot_time(machine_type, startup);
-        (mean as f64 * cx.tuning.boot_overdue) as Micros + 2 * SECOND
+        let mean = self.stats.boot_time(machine_type, startup).max(startup);
+        let given_up = self.fleet.given_up.get(machine_type).copied().unwrap_or(0);
+        let limit = (mean as f64 * cx.tuning.boot_overdue) as Micros + 2 * SECOND;
+        limit << (given_up / GIVEN_UP).min(3)
     }
 }
 
