--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -406,6 +406,12 @@
         since.is_some_and(|at| now.saturating_sub(at) > STARVES_AFTER)
     }
 
+    /// Whether tasks have been waiting for as long, though others of it were placed meanwhile.
+    pub fn waits_long(&self, now: Micros) -> bool {
+        self.waiting_since
+            .is_some_and(|at| now.saturating_sub(at) > STARVES_AFTER)
+    }
+
     /// How many tasks a job begins with ahead of its turn; all of those that need to run together.
     pub fn beginning(&self) -> u64 {
         match self.shape {
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -510,7 +510,9 @@
         let shape = job.shape;
         // What has waited too long may take the room that is kept, too: not only for its beginning. The
         // rest of an array once waited for minutes beside it when nothing more could be rented.
-        let service = shape == Shape::Daemon || job.must_begin(now) || job.starves(now);
+        // Once there are no services any more, that goes for whatever waits long.
+        let yields = self.standby.may_yield() && job.waits_long(now);
+        let service = shape == Shape::Daemon || job.must_begin(now) || job.starves(now) || yields;
         let expected = self.stats.expected_stay(&spec);
         // Places in `open`: for a replica first those where none ended by itself lately; those with the
         // image first, then those that wait for work at our door, then spot, then the fullest.
--- a/crates/core/src/standby.rs
+++ b/crates/core/src/standby.rs
@@ -31,6 +31,8 @@
     largest: Option<(Submission, Micros)>,
     /// Classes of which a job was seen.
     classes: BTreeSet<String>,
+    /// Whether there are services now.
+    live: bool,
     /// What the room is measured by now, and how many of it are to find room in each zone.
     wanted: Option<(Submission, u64)>,
 }
@@ -63,6 +65,7 @@
         let any = jobs
             .iter()
             .any(|(_, j)| j.is_daemon() && j.cancelled.is_none());
+        self.live = any;
         if let Some((_, seen)) = &mut self.largest {
             if any {
                 *seen = now;
@@ -145,6 +148,11 @@
         })
     }
 
+    /// Whether room is kept though there are no services now.
+    pub fn may_yield(&self) -> bool {
+        !self.live
+    }
+
     /// What the room is measured by, and how many such replicas it is to hold in each zone.
     pub fn wanted(&self) -> Option<(&Submission, u64)> {
         self.wanted.as_ref().map(|(spec, n)| (spec, *n))
