Keep no machine for a gang that can never begin

A gang that is to be spread and has one zone only cannot be placed as a whole. After a minute a machine was kept for it, round by round, for good, and other jobs waited beside it. kept_for_nothing fails without this (req-2 pending at 150 s). Found by scenarios drawn at random.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -448,6 +448,19 @@
             return;
         }
         let spec = &job.spec;
+        // A gang that is spread and has but one zone can never begin: a machine was kept for one for
+        // good, and others waited beside it.
+        let zones: BTreeSet<&String> = cx
+            .catalogue
+            .iter()
+            .flatten()
+            .filter(|t| fits_type(spec, t))
+            .flat_map(|t| &t.yards)
+            .filter(|z| spec.yard.as_ref().is_none_or(|y| y == *z))
+            .collect();
+        if job.shape == Shape::Gang && spec.spread && spec.shards > 1 && zones.len() < 2 {
+            return;
+        }
         let mut room: Vec<(f64, &str, &str, u64)> = open
             .iter()
             .filter(|o| permits(cx, spec, &o.machine_type, &o.zone, o.spot))
