Read a team's limit of 0 CPUs as none: a guest's jobs were all refused

Cause: a guest team comes with a guarantee and a limit of 0; its jobs got 422, as if they needed more than the limit. Ruled out: an unknown team, overload. Unit test, seen to fail without the change.

--- a/crates/grebewood/src/config.rs
+++ b/crates/grebewood/src/config.rs
@@ -57,6 +57,9 @@
     gpus_max: f64,
 }
 
+/// The limit of a team that has none: more than any fleet holds.
+const UNLIMITED: f64 = 1e12;
+
 #[derive(Deserialize)]
 struct FileObjective {
     #[serde(default)]
@@ -194,7 +197,12 @@
         }
         let team = Team {
             cpus: t.cpus,
-            cpus_max: t.cpus_max,
+            // A value of 0 means none: no guarantee, and no limit, as for a guest. A team that may
+            // use no CPU at all could run nothing.
+            cpus_max: match t.cpus_max {
+                0.0 => UNLIMITED,
+                limit => limit,
+            },
             gpus: t.gpus,
             gpus_max: t.gpus_max,
         };
--- a/crates/grebewood/src/config/tests.rs
+++ b/crates/grebewood/src/config/tests.rs
@@ -36,6 +36,18 @@
     assert_eq!(endpoints.socket_limit, 1_024);
 }
 
+/// A guest's jobs were all refused with 422, since none fitted a limit of 0.
+#[test]
+fn a_limit_of_0_is_none() {
+    let text = GOOD.replace("cpus = 1.0\ncpus_max = 2.0", "cpus = 0.0\ncpus_max = 0.0");
+    let (settings, _) = parse(&text).expect("good settings");
+    let guest = &settings.teams["t"];
+    assert_eq!(guest.cpus, 0.0);
+    assert!(guest.cpus_max > 1e9);
+    // No task takes accelerators unless its team may.
+    assert_eq!(guest.gpus_max, 0.0);
+}
+
 /// What is written from the start fits the limits that come later at a moment nobody announces.
 #[test]
 fn the_smaller_of_present_and_next_limits_counts() {
