Sum up once a round what a team is about to free; one way to get from state

Read over: what a team's tasks are about to free was summed up over all assignments for each of its jobs that waits, each round; now once for each team. Whether leases may be renewed is looked at only by a leader that has not read state, not at each check-in.

--- a/crates/core/src/cancellations.rs
+++ b/crates/core/src/cancellations.rs
@@ -52,11 +52,11 @@
         self.known.iter().map(|(id, known)| (id.as_str(), known))
     }
 
-    /// Notes a cancellation; true if it is news.
-    pub fn learn(&mut self, job: &str, cancelled_us: u64) -> bool {
+    /// Notes a cancellation.
+    pub fn learn(&mut self, job: &str, cancelled_us: u64) {
         if let Some(known) = self.known.get_mut(job) {
             known.cancelled_us = known.cancelled_us.min(cancelled_us);
-            return false;
+            return;
         }
         let known = Known {
             cancelled_us,
@@ -64,16 +64,14 @@
         };
         self.known.insert(job.to_string(), known);
         self.bound();
-        true
     }
 
-    /// Notes that a user is told of it now; true if the cancellation is news.
-    pub fn tell(&mut self, job: &str, now: Micros, wall: u64) -> bool {
-        let news = self.learn(job, wall);
+    /// Notes that a user is told of it now.
+    pub fn tell(&mut self, job: &str, now: Micros, wall: u64) {
+        self.learn(job, wall);
         if let Some(known) = self.known.get_mut(job) {
             known.told.get_or_insert(now);
         }
-        news
     }
 
     /// The job is over: it is proven that nothing of it runs.
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -31,7 +31,7 @@
 /// So many boots of a type given up in a row double the time that the next ones get.
 const GIVEN_UP: u32 = 10;
 /// Most names in one release.
-const RELEASE_MOST: usize = 100;
+pub(crate) const RELEASE_MOST: usize = 100;
 const CLOUD_TIMEOUT: Micros = 4 * SECOND;
 
 /// A machine that was rented and has not reported yet.
--- a/crates/core/src/leadership/contact.rs
+++ b/crates/core/src/leadership/contact.rs
@@ -1,6 +1,7 @@
 //! What a leader does without the state service: whether it may go on, and until when.
 
 use super::*;
+use crate::fleet::RELEASE_MOST;
 
 /// Without an answer from the state service for this long, a leader doubts its contact.
 const SILENT: Micros = 2 * SECOND;
@@ -205,7 +206,7 @@
             return;
         }
         info!("released, with cancelled tasks: {}", names.join(", "));
-        for perches in names.chunks(100) {
+        for perches in names.chunks(RELEASE_MOST) {
             let perches = perches.to_vec();
             cx.call(
                 Target::Cloud,
--- a/crates/core/src/leadership/flush.rs
+++ b/crates/core/src/leadership/flush.rs
@@ -358,14 +358,7 @@
         self.sweep_at = now + SWEEP;
         let pending = self.pending(LeadCall::List { prefix: HIRE });
         let path = format!("/kv?prefix={HIRE}&page=200");
-        cx.call(
-            Target::State,
-            "GET",
-            path,
-            Vec::new(),
-            STATE_TIMEOUT,
-            pending,
-        );
+        cx.get_state(path, pending);
     }
 
     /// Deletes hires on record that are none of ours.
--- a/crates/core/src/leadership/loading.rs
+++ b/crates/core/src/leadership/loading.rs
@@ -42,14 +42,7 @@
                 format!("/kv/{prefix}")
             };
             let pending = Pending::Lead { token, what };
-            cx.call(
-                Target::State,
-                "GET",
-                path,
-                Vec::new(),
-                STATE_TIMEOUT,
-                pending,
-            );
+            cx.get_state(path, pending);
         }
     }
 
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -105,16 +105,15 @@
         id
     }
 
+    /// Gets from the state service.
+    pub fn get_state(&mut self, path: String, pending: Pending) -> u64 {
+        let nothing = Vec::new();
+        self.call(Target::State, "GET", path, nothing, STATE_TIMEOUT, pending)
+    }
+
     /// Reads one key of the state service.
     pub fn read_key(&mut self, key: &str, pending: Pending) -> u64 {
-        self.call(
-            Target::State,
-            "GET",
-            format!("/kv/{key}"),
-            Vec::new(),
-            STATE_TIMEOUT,
-            pending,
-        )
+        self.get_state(format!("/kv/{key}"), pending)
     }
 
     /// Posts to the state service.
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -343,6 +343,7 @@
         // What is left of a team's limit is kept for a job that has waited long and needs more of it:
         // narrow tasks once took it as it became free, and a job of wide ones, or a gang, never began.
         let mut kept: BTreeSet<String> = BTreeSet::new();
+        let mut ending = Usage::new();
         order.retain(|ix| {
             let Some(job) = self.jobs.get(*ix) else {
                 return false;
@@ -352,7 +353,8 @@
             }
             let has = self.has_quota(cx, *ix);
             let waits = job.must_begin(now) || job.starves(now);
-            if !has && waits && job.placeable(now) > 0 && self.has_quota_soon(cx, *ix) {
+            if !has && waits && job.placeable(now) > 0 && self.has_quota_soon(cx, *ix, &mut ending)
+            {
                 kept.insert(job.spec.owner.clone());
             }
             has
@@ -404,19 +406,20 @@
     }
 
     /// Whether the team may have one more of the job's tasks, or a whole gang, once what of the team's
-    /// is about to end has ended.
-    fn has_quota_soon(&self, cx: &Ctx, ix: JobIx) -> bool {
+    /// is about to end has ended. How much that is, is summed up once a round for each team.
+    fn has_quota_soon(&self, cx: &Ctx, ix: JobIx, ending: &mut Usage) -> bool {
         let Some(job) = self.jobs.get(ix) else {
             return false;
         };
-        let (spec, now) = (&job.spec, cx.now.steady);
-        let ending = self
-            .machines
-            .values()
-            .flat_map(|m| &m.assignments)
-            .filter(|a| a.team == spec.owner && a.remaining(now, 0) < KEPT_FOR);
-        let ending = ending.fold((0.0, 0.0), |sum, a| (sum.0 + a.cpus, sum.1 + a.gpus));
-        self.fits_limit(cx, job, ending)
+        let (team, now) = (&job.spec.owner, cx.now.steady);
+        let freed = ending.entry(team.clone()).or_insert_with(|| {
+            self.machines
+                .values()
+                .flat_map(|m| &m.assignments)
+                .filter(|a| a.team == *team && a.remaining(now, 0) < KEPT_FOR)
+                .fold((0.0, 0.0), |sum, a| (sum.0 + a.cpus, sum.1 + a.gpus))
+        });
+        self.fits_limit(cx, job, *freed)
     }
 
     /// Machines with free room.
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -7,9 +7,9 @@
 //! too much is read anew. Without requests it is brought up to date every second: so a node knows of
 //! all cancellations as of a moment that is recent, whatever happens next.
 
-use crate::node::{Node, Pending, STATE_TIMEOUT};
+use crate::node::{Node, Pending};
 use crate::users::{Ask, Stage, UserCall};
-use crate::{Micros, Outcome, Target, MILLI, SECOND};
+use crate::{Micros, Outcome, MILLI, SECOND};
 use grebewood_wire as wire;
 use grebewood_wire::http::{Changes, Entry, EntryList};
 use grebewood_wire::records::{CancelRecord, JobKey, JobRecord, JOB, OLD_CANCEL};
@@ -203,14 +203,7 @@
                 (path, ViewCall::Changes)
             }
         };
-        self.cx.call(
-            Target::State,
-            "GET",
-            path,
-            Vec::new(),
-            STATE_TIMEOUT,
-            Pending::View(what),
-        );
+        self.cx.get_state(path, Pending::View(what));
     }
 
     /// Takes the reply to a request of the view that was made at `made`.
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -70,14 +70,15 @@
         }
         self.cx.token = self.cx.token.max(report.warrant);
         let me = self.cx.settings.member.clone();
-        let may_renew = self.may_renew();
+        let unread = self.lead.as_ref().is_some_and(|l| !l.loaded());
+        let blind = unread && !self.may_renew();
         match &mut self.lead {
             // It may have come in during the standstill, and the grant may have run out.
             Some(lead) if lead.doubtful() => {
                 self.cx.refuse(id, 503, "it is not certain who leads");
             }
             // Before state is read only the node's own knowledge of cancellations stops tasks.
-            Some(lead) if !lead.loaded() && !may_renew => {
+            Some(_) if blind => {
                 self.cx.refuse(id, 503, "cancellations are not known yet");
             }
             Some(lead) if report.warrant <= lead.token => lead.on_checkin(&mut self.cx, id, report),
