Measure what a leader costs by the size of its fleet

Need: processor time a round and a check-in, memory and state writes at 400, 1,000 and 4,000 machines. Change: the testkit's world records histograms of the leader's steps (hdrhistogram); example fleet_size prints them.

--- /dev/null
+++ b/crates/testkit/examples/fleet_size.rs
@@ -0,0 +1,65 @@
+//! What a leader costs by the size of its fleet: `cargo run --release -p grebewood-testkit --example
+//! fleet_size -- 400 1000 4000` prints a Markdown table.
+
+use grebewood_testkit::measure::StepKind;
+use grebewood_testkit::play_measured;
+
+/// Simulated seconds of a run.
+const LENGTH_S: u64 = 60;
+
+/// A fleet of so many machines, all with work, that loses its leader once.
+fn scenario(machines: u64) -> String {
+    format!(
+        "nodes 3\nworkers report=5 lease=26.5 cancel=46.5\n\
+         tuning idle_hold_us=600000000 idle_hold_ordinary_us=600000000\n\
+         state rps=350 writes=50 ops=8 value=8\n\
+         team t cpus={cpus} max={cpus}\n\
+         type std cpus=8 mem=32 price=1 spot=0.3 boot=5 cap={machines} zones=a\n\
+         machines std count={machines}\n\
+         every 1 from 4 to 55 submit req-1 tasks={tasks} cpus=2 run=20\n\
+         at 30 crash leader for=4\nat 40 leaders 1\nend {LENGTH_S}\n",
+        cpus = machines * 8,
+        tasks = machines / 5,
+    )
+}
+
+/// Bytes that are allocated and not freed.
+fn allocated() -> u64 {
+    // SAFETY: `mallinfo2` has no arguments and only reads the allocator's own counters.
+    unsafe { libc::mallinfo2().uordblks as u64 }
+}
+
+fn main() -> Result<(), String> {
+    println!("| machines | step | number | mean us | p99 us | longest us | share of a core |");
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    for argument in std::env::args().skip(1) {
+        let machines = argument.parse().map_err(|e| format!("{argument}: {e}"))?;
+        let mut world = play_measured(&scenario(machines))?;
+        let Some(measures) = world.measures.take() else {
+            continue;
+        };
+        for (kind, times) in &measures.steps {
+            let total_s = times.mean() * times.len() as f64 / 1e9;
+            println!(
+                "| {machines} | {kind:?} | {} | {:.1} | {:.1} | {:.0} | {:.4} |",
+                times.len(),
+                times.mean() / 1e3,
+                times.value_at_quantile(0.99) as f64 / 1e3,
+                times.max() as f64 / 1e3,
+                total_s / LENGTH_S as f64,
+            );
+        }
+        let checkins = measures.steps.get(&StepKind::Checkin).map_or(0, |h| h.len());
+        let before = allocated();
+        world.end_leader();
+        println!(
+            "| {machines} | all | {:.0} check-ins a second, {:.1} changes and {:.1} requests of state a \
+             second, leader's memory {} KiB | | | | |",
+            checkins as f64 / LENGTH_S as f64,
+            measures.changes as f64 / LENGTH_S as f64,
+            measures.requests as f64 / LENGTH_S as f64,
+            before.saturating_sub(allocated()) / 1024,
+        );
+    }
+    Ok(())
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,11 +7,20 @@
 //! The rules of the protocol are checked at every step; a broken one ends the scenario.
 
 pub mod machines;
+pub mod measure;
 pub mod production;
 pub mod script;
 pub mod state;
 pub mod world;
 
+/// Plays a scenario and measures what its leader costs.
+pub fn play_measured(text: &str) -> Result<world::World, String> {
+    let mut world = world::World::new(script::parse(text)?)?;
+    world.measures = Some(measure::Measures::default());
+    world.play_to_the_end()?;
+    Ok(world)
+}
+
 /// Plays a scenario. The error says what went wrong, and when.
 pub fn play(text: &str) -> Result<(), String> {
     let script = script::parse(text)?;
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -1,6 +1,7 @@
 //! The simulated world: plays a script and checks the rules.
 
 use crate::machines::{JobFacts, Machine, Task};
+use crate::measure::{Measures, StepKind};
 use crate::production;
 use crate::script::{Line, Script};
 use crate::state::{Reply, StateService};
@@ -206,6 +207,8 @@
     met: u64,
     /// A rule that was broken within a step.
     broken: Option<String>,
+    /// What the leader costs, if that is measured.
+    pub measures: Option<Measures>,
 }
 
 /// Reads hexadecimal digits.
@@ -290,6 +293,7 @@
             expected: 0,
             met: 0,
             broken: None,
+            measures: None,
         };
         let mut nodes = 3;
         for line in &script.setup {
@@ -321,6 +325,17 @@
 
     /// Plays to the end.
     pub fn run(mut self) -> Result<(), String> {
+        self.play_to_the_end()
+    }
+
+    /// Ends the leader's process, so that its memory can be told.
+    pub fn end_leader(&mut self) {
+        if let Ok(leader) = self.node_named("leader") {
+            self.slots[leader].node = None;
+        }
+    }
+
+    pub(crate) fn play_to_the_end(&mut self) -> Result<(), String> {
         self.play_until(self.end)?;
         if self.met < self.expected {
             return Err(format!(
--- a/crates/testkit/src/world/controllers.rs
+++ b/crates/testkit/src/world/controllers.rs
@@ -1,6 +1,7 @@
 //! The controllers: their steps, their calls and the links that these take.
 
 use super::*;
+use std::time::Instant;
 
 impl World {
     pub(super) fn step(&mut self, n: usize, process: u64, input: Input) {
@@ -18,7 +19,13 @@
                 slot.unsure = false;
             }
         }
+        let leads = node.lead.is_some();
+        let kind = StepKind::of(&input);
+        let began = Instant::now();
         let effects = node.step(now, input, &mut NoStopwatch);
+        if let (true, Some(measures)) = (leads, &mut self.measures) {
+            measures.step(kind, began.elapsed());
+        }
         for effect in effects {
             let what = self.on_unsure_grant(n, &effect);
             if let (true, Some(what)) = (self.slots[n].unsure, what) {
@@ -221,6 +228,12 @@
         if grant && matches!(reply, Reply::Now(200, _)) {
             self.granted();
         }
+        if let Some(measures) = &mut self.measures {
+            measures.requests += 1;
+            if let (Ok(txn), Reply::Now(200, _)) = (from_cbor::<Txn>(body), &reply) {
+                measures.changes += txn.apply.len() as u64;
+            }
+        }
         match reply {
             Reply::Now(status, body) => {
                 self.count_lost(caller, path, status);
