--- a/crates/core/src/cancellations.rs
+++ b/crates/core/src/cancellations.rs
@@ -117,6 +117,11 @@
         self.as_of = self.as_of.max(Some(at));
     }
 
+    /// Up to which moment all confirmed cancellations are known from state.
+    pub fn read_up_to(&self) -> Micros {
+        self.as_of.unwrap_or(0)
+    }
+
     /// A moment up to which all that this peer confirmed is known.
     pub fn known_of(&self, peer: usize) -> Option<Micros> {
         self.as_of.max(self.covered.get(&peer).copied())
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -123,9 +123,7 @@
         if !self.list_busy {
             at = at.min(self.list_at);
         }
-        if !self.releasing.is_empty() && !self.release_busy {
-            at = at.min(self.release_at);
-        }
+        at = at.min(self.release_wake());
         for h in self.rentals.values() {
             if h.written && !h.asking && h.unlisted.is_none() {
                 at = at.min(h.retry_at);
@@ -172,6 +170,21 @@
         self.gone.contains_key(name)
     }
 
+    /// Machines whose release was answered within the last `span`.
+    pub(crate) fn gone_within(&self, now: Micros, span: Micros) -> Vec<String> {
+        let late = self.gone.iter();
+        let late = late.filter(|(_, at)| now.saturating_sub(**at) <= span);
+        late.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// When the next release goes out.
+    pub(crate) fn release_wake(&self) -> Micros {
+        match self.releasing.is_empty() || self.release_busy {
+            true => Micros::MAX,
+            false => self.release_at,
+        }
+    }
+
     /// Whether the machine's return is under way.
     pub fn is_releasing(&self, name: &str) -> bool {
         self.releasing.contains(name)
@@ -311,6 +324,11 @@
         }
     }
 
+    /// Sends releases that are due, in the name of a partition's holder.
+    pub(crate) fn run_releases(&mut self, context: &mut Context) {
+        self.send_releases(context);
+    }
+
     fn send_releases(&mut self, context: &mut Context) {
         let now = context.now.steady;
         let f = &mut self.fleet;
@@ -398,7 +416,10 @@
     }
 
     /// A release was answered 200: the machine and all that was on it are gone.
-    fn released(&mut self, context: &mut Context, name: &str) {
+    pub(crate) fn released(&mut self, context: &mut Context, name: &str) {
+        if let Some(partition) = self.machines.get(name).and_then(|m| m.partition) {
+            self.remote.note_released(partition, name);
+        }
         self.fleet.releasing.remove(name);
         self.fleet.gone.insert(name.to_string(), context.now.steady);
         while self.fleet.gone.len() > 20_000 {
@@ -415,7 +436,9 @@
             self.free(context, name, 0);
             // No report will tell the next leader: it would wait for this machine's lease.
             let due = context.now.steady + RELEASED_DELAY;
-            self.ledger.touch_by(RecordId::Page(page), due);
+            if !self.is_holder() {
+                self.ledger.touch_by(RecordId::Page(page), due);
+            }
         }
         self.machines.remove(name);
         self.refuse_pending(context, name, "the machine was returned");
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -9,12 +9,14 @@
 use crate::jobs::{Ending, Job, JobIndex, Jobs};
 use crate::ledger::{Batch, Ledger, RecordId, Rendered};
 use crate::node::{Context, LeadCall, Node, Pending, STATE_TIMEOUT};
+use crate::partitions::{Holding, RemotePartitions};
 use crate::placement::{Placement, Usage};
 use crate::standby::Standby;
 use crate::stats::Stats;
 use crate::users::{absent, put};
 use crate::workers::{Assignment, Machine, Parked, PendingCheckin, Seen, Stop};
 use crate::{Micros, Outcome, Stopwatch, Target, MILLI, SECOND};
+use grebewood_partition::{PartitionId, PartitionMap};
 use grebewood_wire as wire;
 use grebewood_wire::http::{
     from_value, to_value, Change, Changes, Entry, EntryList, Event, Lease, LeaseRequest,
@@ -22,9 +24,9 @@
 };
 use grebewood_wire::peer::{PeerAnswer, PeerRequest};
 use grebewood_wire::records::{
-    cancel_key, job_key, CancelRecord, DonePageRecord, DoneRecord, FinishedJobRecord, JobKey,
-    JobRecord, LeaderRecord, PageRecord, RentalRecord, CATALOGUE, DONE, FINISHED, JOB, LEADER,
-    OLD_CANCEL, PAGE, RENTAL, STATS,
+    cancel_key, job_key, partition_key, CancelRecord, DonePageRecord, DoneRecord,
+    FinishedJobRecord, JobKey, JobRecord, LeaderRecord, PageRecord, RentalRecord, CATALOGUE, DONE,
+    FINISHED, JOB, LEADER, OLD_CANCEL, PAGE, PARTITION, RENTAL, STATS,
 };
 use grebewood_wire::Value;
 use log::{error, info, warn};
@@ -37,6 +39,7 @@
 mod loading;
 mod watches;
 
+pub(crate) use contact::MemberView;
 use contact::PeerView;
 pub(crate) use contact::UnprovenMachines;
 
@@ -71,6 +74,8 @@
     peers: BTreeMap<usize, PeerView>,
     /// Number of the last question to the peers.
     question: u64,
+    /// When a holder of partitions that does not lead asks its peers next.
+    next_question: Micros,
     /// The highest fencing token of a grant that was read from state, or is our own.
     grant: u64,
 }
@@ -94,6 +99,7 @@
             lease_at: 0,
             peers: BTreeMap::new(),
             question: 0,
+            next_question: 0,
             grant: 0,
         }
     }
@@ -115,6 +121,22 @@
             .is_some_and(|(l, stamp)| l.member == member && *stamp == token)
     }
 
+    /// Whether the leader, as far as one is known, understands partitions.
+    pub(crate) fn leader_knows_partitions(&self) -> bool {
+        self.leader.as_ref().is_none_or(|(l, _)| l.partitions)
+    }
+
+    /// The stamp of the leader's record, if there is a leader that understands partitions.
+    pub(crate) fn partition_term(&self) -> Option<u64> {
+        let leader = self.leader.as_ref().filter(|(l, _)| l.partitions);
+        leader.map(|(_, stamp)| *stamp)
+    }
+
+    /// Distinguishes this process from an earlier one of the same member.
+    pub(crate) fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     /// The leader's name.
     pub fn leader(&self) -> Option<&str> {
         self.leader.as_ref().map(|(l, _)| l.member.as_str())
@@ -150,9 +172,34 @@
     relisted_as_of: Option<u64>,
 }
 
+/// What a node is to the machines that it looks after.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// It decides for the whole fleet, and looks after the machines that are in no partition.
+    Leader,
+    /// It looks after the machines of this partition, on the leader's orders.
+    Holder(PartitionId),
+}
+
+/// A grant in the state service: a record under a lease.
+#[derive(Clone, Copy, Debug)]
+pub struct Grant {
+    /// The record's stamp, which is the fencing token.
+    pub token: u64,
+    /// The lease.
+    pub lease: u64,
+    /// When the lease was asked for.
+    pub lease_at: Micros,
+}
+
 /// Everything the leader works with. It is built from state after the grant, and dropped whole
 /// when the leader steps down.
 pub struct Lead {
+    pub(crate) role: Role,
+    /// The leader's part in partitions.
+    pub(crate) remote: RemotePartitions,
+    /// A holder's part in its partition.
+    pub(crate) holding: Holding,
     pub token: u64,
     lease: u64,
     extend_at: Micros,
@@ -226,12 +273,21 @@
         lead.run(&mut self.context, watch);
     }
 
-    pub(crate) fn on_lead_reply(&mut self, what: LeadCall, outcome: Outcome) {
-        let Some(lead) = self.lead.as_mut() else {
+    /// Takes the reply to a call that was made under the grant with this token.
+    pub(crate) fn on_lead_reply(&mut self, token: u64, what: LeadCall, outcome: Outcome) {
+        if let Some(lead) = self.lead.as_mut().filter(|lead| lead.token == token) {
+            if let Err(why) = lead.on_reply(&mut self.context, what, outcome) {
+                self.step_down(&why, false);
+            }
+            return;
+        }
+        let holder = self.partitions.holders.iter_mut();
+        let Some((id, lead)) = holder.into_iter().find(|(_, lead)| lead.token == token) else {
             return;
         };
+        let id = *id;
         if let Err(why) = lead.on_reply(&mut self.context, what, outcome) {
-            self.step_down(&why, false);
+            self.leave_partition(id, &why);
         }
     }
 }
@@ -242,13 +298,16 @@
 }
 
 impl Lead {
-    fn new(context: &Context, token: u64, lease: u64, lease_at: Micros) -> Self {
+    pub(crate) fn new(context: &Context, role: Role, grant: Grant) -> Self {
         let now = context.now.steady;
         Lead {
-            token,
-            lease,
+            role,
+            remote: RemotePartitions::default(),
+            holding: Holding::default(),
+            token: grant.token,
+            lease: grant.lease,
             // The lease may be old already, if the state service is slow.
-            extend_at: lease_at + context.tuning.leader_lease_us / 4,
+            extend_at: grant.lease_at + context.tuning.leader_lease_us / 4,
             doubtful: false,
             loading: None,
             began: now,
@@ -298,11 +357,29 @@
         !self.corrupt.is_empty() && self.machines.values().any(unknown)
     }
 
-    /// Whether state has been read, so that the leader can act.
+    /// Whether state has been read, and the holder of a partition knows all that may be on its
+    /// machines, so that it can act.
     pub fn loaded(&self) -> bool {
+        self.loading.is_none() && (self.role == Role::Leader || self.holding.knows_tasks())
+    }
+
+    /// Whether the live jobs have been read.
+    pub(crate) fn jobs_are_read(&self) -> bool {
         self.loading.is_none()
     }
 
+    /// Whether it is known which machines are in partitions.
+    pub(crate) fn knows_partitions(&self, context: &Context) -> bool {
+        let loading = self.loading.as_ref();
+        !context.understands_partitions()
+            || loading.is_none_or(|loading| !loading.missing.contains_key(PARTITION))
+    }
+
+    /// The lease of its grant.
+    pub(crate) fn lease(&self) -> u64 {
+        self.lease
+    }
+
     /// Whether the grant may have run out while the process stood still.
     pub fn doubtful(&self) -> bool {
         self.doubtful
@@ -342,6 +419,10 @@
         for w in self.watches.values().filter(|w| !w.open) {
             at = at.min(w.retry_at);
         }
+        if self.role != Role::Leader {
+            return at.min(self.holder_wake());
+        }
+        at = at.min(self.remote.next_wake());
         if self.ledger.in_flight.is_none() {
             if let Some(due) = self.ledger.next_due() {
                 at = at.min(due.max(self.ledger.not_before));
@@ -364,7 +445,7 @@
     }
 
     /// All timers of the leader.
-    fn run(&mut self, context: &mut Context, watch: &mut dyn Stopwatch) {
+    pub(crate) fn run(&mut self, context: &mut Context, watch: &mut dyn Stopwatch) {
         let now = context.now.steady;
         if now >= self.extend_at {
             // A reply may be lost: the next renewal goes out all the same.
@@ -378,10 +459,13 @@
         if self.doubtful {
             return;
         }
-        if !self.loaded() {
+        if self.loading.is_some() {
             return self.run_loading(context);
         }
         self.run_watches(context);
+        if self.role != Role::Leader {
+            return self.run_holder(context);
+        }
         self.run_machines(context);
         self.run_placement(context, watch);
         self.run_fleet(context);
@@ -447,6 +531,10 @@
                 self.on_direct(context, &machine, outcome);
                 Ok(())
             }
+            LeadCall::Orders { partition, claim } => {
+                self.on_orders_answered(context, partition, claim, outcome);
+                Ok(())
+            }
         }
     }
 
--- a/crates/core/src/leadership/contact.rs
+++ b/crates/core/src/leadership/contact.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::fleet::RELEASE_MOST;
+use grebewood_partition::Member;
 
 /// Without an answer from the state service for this long, a leader doubts its contact.
 const SILENT: Micros = 2 * SECOND;
@@ -13,6 +14,20 @@
 /// machines that it left unproven.
 const UNPROVEN_DELAY: Micros = 3 * SECOND;
 
+/// A peer that was asked longer ago than this, without an answer since, is not counted on.
+const MEMBER_SPAN: Micros = 3 * SECOND;
+
+/// Which members can hold partitions.
+#[derive(Clone, Debug)]
+pub(crate) struct MemberView {
+    /// Those that can, and have contact with the state service.
+    pub members: BTreeSet<Member>,
+    /// Whether all siblings answered lately.
+    pub all_answer: bool,
+    /// Whether one answered that does not understand partitions.
+    pub any_without: bool,
+}
+
 /// What a peer last said of its contact with the state service.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct PeerView {
@@ -26,6 +41,8 @@
     remembers_from: Option<Micros>,
     /// The highest grant that it read from state, or has itself.
     grant: u64,
+    /// Whether it understands partitions.
+    partitions: bool,
 }
 
 impl Node {
@@ -87,6 +104,7 @@
             without_contact: age.is_none_or(|age| age >= SILENT),
             remembers_from: None,
             grant: answer.grant,
+            partitions: answer.partitions,
         };
         // Only the answer to this very question says what the peer has confirmed. An earlier
         // version says nothing of it.
@@ -96,9 +114,7 @@
                 self.context
                     .cancellations
                     .learn(&id, wall.saturating_sub(age).max(1));
-                if let Some(lead) = &mut self.lead {
-                    lead.apply_cancellation(&mut self.context, &id);
-                }
+                self.apply_cancellation(&id);
             }
             if let Some(span) = confirmed.remembers_us {
                 // It began to remember no later than this, by our clock: clocks drift.
@@ -114,10 +130,50 @@
         self.settle_doubt();
     }
 
+    /// Stops what runs of a job that is known to be cancelled, under whatever grant.
+    pub(crate) fn apply_cancellation(&mut self, id: &str) {
+        let holders = self.partitions.holders.values_mut();
+        for lead in self.lead.iter_mut().chain(holders) {
+            lead.apply_cancellation(&mut self.context, id);
+        }
+    }
+
+    /// The members that answered lately, this one included, that can hold partitions; and whether any
+    /// that answered cannot.
+    pub(crate) fn partition_members(&self) -> MemberView {
+        let now = self.context.now.steady;
+        let own = &self.context.settings;
+        let mut view = MemberView {
+            members: BTreeSet::from([Member {
+                name: own.member.clone(),
+                zone: own.zone.clone(),
+            }]),
+            all_answer: true,
+            any_without: false,
+        };
+        for (place, sibling) in own.siblings.iter().enumerate() {
+            let peer = self.election.peers.get(&place);
+            let Some(peer) = peer.filter(|p| now.saturating_sub(p.asked) < MEMBER_SPAN) else {
+                view.all_answer = false;
+                continue;
+            };
+            if !peer.partitions {
+                view.any_without = true;
+            } else if !peer.without_contact {
+                view.members.insert(Member {
+                    name: sibling.member.clone(),
+                    zone: sibling.zone.clone(),
+                });
+            }
+        }
+        view
+    }
+
     /// After a standstill without contact: all peers, asked since, have been without contact too,
     /// and remember from before we lost ours that nobody else got a grant. So this is an outage, in
     /// which leases do not run out and nobody can be elected.
     fn settle_doubt(&mut self) {
+        // A holder stays in doubt until the state service answers: its claim may have passed on.
         let (woke, lost) = (self.context.woke(), self.context.last_contact.unwrap_or(0));
         let Some(lead) = self.lead.as_mut().filter(|l| l.doubtful) else {
             return;
@@ -164,28 +220,36 @@
     /// What a peer had confirmed while only this node was refused was once unknown here for as long
     /// as an outage lasted that came right after.
     pub(super) fn check_contact(&mut self) {
-        let now = self.context.now.steady;
-        let (Some(lost), Some(lead)) = (self.context.last_contact, &self.lead) else {
+        let Some(lead) = &self.lead else {
             return;
         };
+        if let Some(why) = self.lost_grant(lead) {
+            self.step_down(why, false);
+        }
+    }
+
+    /// Why this node may act no longer under the grant, if it is so.
+    pub(crate) fn lost_grant(&self, lead: &Lead) -> Option<&'static str> {
+        let now = self.context.now.steady;
+        let lost = self.context.last_contact?;
         if now.saturating_sub(lost) >= SILENT {
             let lapsed = lost + self.context.tuning.leader_lease_us;
             let peers = self.election.peers.values();
             let (mut served, mut deposed) = (false, false);
             for p in peers {
                 served |= p.contact.is_some_and(|c| c > lapsed);
-                deposed |= p.grant > lead.token;
+                // A later leader says nothing of a claim on a partition.
+                deposed |= lead.role == Role::Leader && p.grant > lead.token;
             }
             if deposed {
-                return self.step_down("a peer knows of a later grant", false);
+                return Some("a peer knows of a later grant");
             }
             if served {
-                return self.step_down("the state service serves a peer, not this node", false);
+                return Some("the state service serves a peer, not this node");
             }
         }
-        if lead.loaded() && !self.may_renew() {
-            self.step_down("cancellations may be unknown here", false);
-        }
+        let blind = lead.loaded() && !self.may_renew();
+        blind.then_some("cancellations may be unknown here")
     }
 }
 
@@ -199,7 +263,7 @@
 
 impl Node {
     /// Takes over what the leader that steps down leaves unproven.
-    pub(super) fn leave_unproven(&mut self, lead: &Lead) {
+    pub(crate) fn leave_unproven(&mut self, lead: &Lead) {
         let names =
             lead.unproven_machines(self.context.now.steady, 2 * self.context.settings.report);
         if names.is_empty() {
--- a/crates/core/src/leadership/contact/tests.rs
+++ b/crates/core/src/leadership/contact/tests.rs
@@ -76,6 +76,8 @@
     let answer = |member: &str, question: u64| Outcome::Answer {
         status: 200,
         body: wire::to_peer(&PeerAnswer {
+            partitions: false,
+            report: None,
             member: member.into(),
             state_contact_age_us: None,
             token: 7,
--- a/crates/core/src/leadership/election.rs
+++ b/crates/core/src/leadership/election.rs
@@ -15,6 +15,12 @@
                 self.context
                     .read_key(LEADER, Pending::Election(Step::Probe));
             }
+            // A holder renews leases as a leader does: it has to know what peers confirmed.
+            if !self.partitions.holders.is_empty() && now >= self.election.next_question {
+                self.ask_peers();
+                self.election.next_question = self.election.next_probe;
+                self.election.next_probe = now + PROBE;
+            }
         } else {
             self.ask_peers();
         }
@@ -71,10 +77,7 @@
             (Step::Lease, 200) => {
                 if let Ok(lease) = wire::from_cbor::<Lease>(&body) {
                     self.election.busy = true;
-                    let record = LeaderRecord {
-                        member: self.context.settings.member.clone(),
-                        incarnation: self.election.incarnation,
-                    };
+                    let record = self.own_leader_record();
                     let txn = Txn {
                         when: vec![absent(LEADER)],
                         apply: vec![Change::Put {
@@ -113,15 +116,17 @@
         }
     }
 
+    /// The record with which this node claims the lead.
+    fn own_leader_record(&self) -> LeaderRecord {
+        LeaderRecord {
+            member: self.context.settings.member.clone(),
+            incarnation: self.election.incarnation,
+            partitions: self.context.understands_partitions(),
+        }
+    }
+
     pub(super) fn end_lease(&mut self, lease: u64) {
-        self.context.call(
-            Target::State,
-            "DELETE",
-            format!("/leases/{lease}"),
-            Vec::new(),
-            STATE_TIMEOUT,
-            Pending::Ignore,
-        );
+        self.context.end_lease(lease);
         self.election.next_probe = self.context.now.steady + 100 * MILLI;
     }
 
@@ -129,17 +134,17 @@
         info!("leader with token {token}");
         self.context.token = self.context.token.max(token);
         self.election.grant = self.election.grant.max(token);
-        let record = LeaderRecord {
-            member: self.context.settings.member.clone(),
-            incarnation: self.election.incarnation,
-        };
+        let record = self.own_leader_record();
         self.election.leader = Some((record, token));
         self.election.peers.clear();
         let mut lead = Box::new(Lead::new(
             &self.context,
-            token,
-            lease,
-            self.election.lease_at,
+            Role::Leader,
+            Grant {
+                token,
+                lease,
+                lease_at: self.election.lease_at,
+            },
         ));
         lead.start_loading(&mut self.context);
         self.lead = Some(lead);
@@ -170,17 +175,25 @@
     /// have run out, and others may have acted since. Check-ins that waited were given up.
     pub(crate) fn doubt_grant(&mut self) {
         let now = self.context.now.steady;
-        let Some(lead) = &mut self.lead else { return };
-        lead.doubtful = true;
-        lead.extend_at = now;
-        // Nobody could be heard meanwhile: that is no sign of being cut off from the workers.
-        lead.heard_at = now;
-        for request in lead.waiting_checkins() {
-            self.context
-                .refuse(request, 503, "it is not certain who leads");
+        if self.lead.is_none() && self.partitions.holders.is_empty() {
+            return;
+        }
+        for lead in self
+            .lead
+            .iter_mut()
+            .chain(self.partitions.holders.values_mut())
+        {
+            lead.doubtful = true;
+            lead.extend_at = now;
+            // Nobody could be heard meanwhile: that is no sign of being cut off from the workers.
+            lead.heard_at = now;
+            for request in lead.waiting_checkins() {
+                self.context
+                    .refuse(request, 503, "it is not certain who leads");
+            }
+            lead.pending_checkins.clear();
+            lead.parked = Parked::default();
         }
-        lead.pending_checkins.clear();
-        lead.parked = Parked::default();
         self.election.peers.clear();
         self.election.next_probe = now;
     }
--- a/crates/core/src/leadership/endings.rs
+++ b/crates/core/src/leadership/endings.rs
@@ -23,6 +23,7 @@
         if job.cancelled.is_some() {
             return;
         }
+        self.holding.note_cancelled(id, now);
         let ago = record.map_or(0, |r| context.now.wall.saturating_sub(r.cancelled_us));
         job.cancelled = Some(now as i64 - ago as i64);
         job.ending = None;
@@ -42,7 +43,7 @@
 
     /// State has no cancellation of this job after all: what was said of it was wrong, and the job
     /// runs. Only its record may end it.
-    pub(super) fn retract_cancellation(&mut self, context: &mut Context, id: &str) {
+    pub(crate) fn retract_cancellation(&mut self, context: &mut Context, id: &str) {
         context.cancellations.forget(id);
         let job = self
             .jobs
@@ -67,6 +68,10 @@
 
     /// Starts writing the end of a job if it has come to it.
     pub(crate) fn end_if_over(&mut self, context: &Context, index: JobIndex) {
+        // The leader ends jobs.
+        if self.is_holder() {
+            return;
+        }
         let Some(job) = self.jobs.get_mut(index) else {
             return;
         };
--- a/crates/core/src/leadership/flush.rs
+++ b/crates/core/src/leadership/flush.rs
@@ -14,6 +14,11 @@
 const SPLIT_DELAY: Micros = 500 * MILLI;
 
 impl Lead {
+    /// Whether the state service has failed to take the last writes in time.
+    pub(crate) fn state_is_slow(&self) -> bool {
+        self.flush_failures > 0
+    }
+
     /// Renders a record's current content.
     pub(super) fn render(&self, context: &Context, rec: &RecordId) -> Option<Rendered> {
         let single = |key: String, change: Change| Rendered {
@@ -55,6 +60,18 @@
                 }
                 Some(single(CATALOGUE.into(), put(CATALOGUE.into(), &record)))
             }
+            RecordId::Partition(id) => {
+                let record = self.remote.record(*id)?;
+                let key = partition_key(*id);
+                Some(single(key.clone(), put(key, record)))
+            }
+            RecordId::Deleted(key) => {
+                let known = self.ledger.stamps.contains_key(key);
+                let change = Change::Delete {
+                    delete: key.clone(),
+                };
+                known.then(|| single(key.clone(), change))
+            }
             RecordId::Over(index) => {
                 let job = self.jobs.get(*index)?;
                 let ending = job.ending?;
--- a/crates/core/src/leadership/loading.rs
+++ b/crates/core/src/leadership/loading.rs
@@ -3,9 +3,19 @@
 use super::*;
 
 impl Lead {
-    pub(super) fn start_loading(&mut self, context: &mut Context) {
+    pub(crate) fn start_loading(&mut self, context: &mut Context) {
         let mut loading = Loading::default();
-        for prefix in [JOB, OLD_CANCEL, DONE, PAGE, RENTAL, STATS, CATALOGUE] {
+        // Whoever claims a partition does so under a leader that understands them. To one that does not
+        // they mean nothing: its token is higher than that of every claim.
+        let partitions = context.understands_partitions().then_some(PARTITION);
+        let of_leader = [DONE, PAGE, RENTAL, STATS, CATALOGUE];
+        let of_leader = of_leader.into_iter().chain(partitions);
+        let mut prefixes = vec![JOB, OLD_CANCEL];
+        // A holder learns from the leader what may be on its machines.
+        if self.role == Role::Leader {
+            prefixes.extend(of_leader);
+        }
+        for prefix in prefixes {
             loading.missing.insert(prefix, None);
             loading.retry.insert(prefix, context.now.steady);
         }
@@ -78,6 +88,9 @@
                     loading.retry.insert(prefix, now);
                 } else {
                     loading.missing.remove(prefix);
+                    if prefix == PARTITION {
+                        self.take_partitions(context);
+                    }
                 }
             }
             Err(e) => {
@@ -89,6 +102,22 @@
         self.finish_loading(context);
     }
 
+    /// All partitions were read.
+    fn take_partitions(&mut self, context: &Context) {
+        let entries = self
+            .loading
+            .as_mut()
+            .and_then(|l| l.entries.remove(PARTITION));
+        let mut map = PartitionMap::default();
+        for entry in entries.unwrap_or_default() {
+            if let Err(why) = map.put(&entry.key, &entry.value, entry.stamp) {
+                error!("record {}: {why}; set aside", entry.key);
+            }
+            self.ledger.stamps.insert(entry.key, entry.stamp);
+        }
+        self.load_partitions(context, &map);
+    }
+
     pub(super) fn on_read(&mut self, context: &mut Context, key: &'static str, outcome: Outcome) {
         let Some(loading) = &mut self.loading else {
             return;
@@ -358,6 +387,7 @@
                     team: spec.map_or(String::new(), |s| s.team.clone()),
                     zone: m.zone.clone(),
                     launched: Some((0, 0)),
+                    delivered: false,
                     seen: Seen::Never,
                     decided: context.now.steady,
                     started: None,
--- a/crates/core/src/leadership/watches.rs
+++ b/crates/core/src/leadership/watches.rs
@@ -74,6 +74,12 @@
     }
 
     pub(super) fn on_event(&mut self, context: &mut Context, event: Event) {
+        if let (Some(key), true) = (&event.delete, self.is_holder()) {
+            // The leader ended it: what is left of it on machines belongs to no job.
+            if let Some(JobKey::Live(id)) = JobKey::parse(key) {
+                self.jobs.find(id).and_then(|index| self.jobs.remove(index));
+            }
+        }
         if let (Some(key), Some(value)) = (&event.put, &event.value) {
             match JobKey::parse(key) {
                 Some(JobKey::Live(id)) => {
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -13,6 +13,7 @@
 
 use crate::jobs::JobIndex;
 use crate::{Micros, MILLI};
+use grebewood_partition::PartitionId;
 use grebewood_wire::http::{Change, Txn, When};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -31,6 +32,10 @@
     Stats,
     /// Machine types.
     Catalogue,
+    /// A partition.
+    Partition(PartitionId),
+    /// A key that is to be deleted.
+    Deleted(String),
 }
 
 /// One record's changes and conditions, as rendered for a transaction.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod ledger;
 pub mod node;
 pub mod pace;
+pub mod partitions;
 pub mod placement;
 pub mod settings;
 pub mod standby;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -6,9 +6,10 @@
 use crate::users::{FinishedJobs, FinishedReads, UserCall};
 use crate::view::{View, ViewCall};
 use crate::{
-    fleet, leadership, Call, Effect, Input, Interface, Micros, Now, Outcome, Settings, Stopwatch,
-    Target, Tuning, MILLI, SECOND,
+    fleet, leadership, partitions, Call, Effect, Input, Interface, Micros, Now, Outcome, Settings,
+    Stopwatch, Target, Tuning, MILLI, SECOND,
 };
+use grebewood_partition::PartitionId;
 use grebewood_wire as wire;
 use grebewood_wire::http::{MachineType, Refusal};
 use grebewood_wire::peer::{PeerAnswer, PeerRequest};
@@ -34,6 +35,13 @@
         peer: usize,
         question: u64,
     },
+    /// The node's copy of the partition map.
+    PartitionMap(partitions::MapCall),
+    /// A claim on a partition.
+    PartitionClaim {
+        partition: PartitionId,
+        step: partitions::ClaimStep,
+    },
     /// Nothing depends on the reply.
     Ignore,
 }
@@ -42,14 +50,29 @@
 #[derive(Debug)]
 pub enum LeadCall {
     Extend,
-    List { prefix: &'static str },
-    Read { key: &'static str },
-    Watch { prefix: &'static str },
+    List {
+        prefix: &'static str,
+    },
+    Read {
+        key: &'static str,
+    },
+    Watch {
+        prefix: &'static str,
+    },
     Flush,
     FlushReadBack,
-    Refresh { key: String },
+    Refresh {
+        key: String,
+    },
     Fleet(fleet::FleetCall),
-    Direct { machine: String },
+    Direct {
+        machine: String,
+    },
+    /// Orders to the holder of a partition, under this claim.
+    Orders {
+        partition: PartitionId,
+        claim: u64,
+    },
 }
 
 /// What all parts of a node share.
@@ -173,6 +196,23 @@
         self.rng.gen_range(0..=most)
     }
 
+    /// Whether this node may hold partitions, and lead members that hold some.
+    pub fn understands_partitions(&self) -> bool {
+        self.tuning.partitions_per_zone > 0
+    }
+
+    /// Gives a lease back, and with it what is attached to it.
+    pub(crate) fn end_lease(&mut self, lease: u64) {
+        self.call(
+            Target::State,
+            "DELETE",
+            format!("/leases/{lease}"),
+            Vec::new(),
+            STATE_TIMEOUT,
+            Pending::Ignore,
+        );
+    }
+
     /// The machine type with this name.
     pub fn machine_type(&self, name: &str) -> Option<&MachineType> {
         self.catalogue.as_ref()?.iter().find(|t| t.name == name)
@@ -194,6 +234,8 @@
     pub view: View,
     /// What the leader last said of live jobs: completed and running tasks.
     pub progress: BTreeMap<String, (u64, u64)>,
+    /// Its part in the partitions of the fleet.
+    pub partitions: partitions::Partitions,
     /// What this node left unproven when it last stepped down.
     pub(crate) unproven: Option<UnprovenMachines>,
     catalogue_at: Micros,
@@ -238,6 +280,7 @@
             finished_reads: FinishedReads::new(),
             view: View::default(),
             progress: BTreeMap::new(),
+            partitions: partitions::Partitions::default(),
             unproven: None,
             catalogue_at: 0,
             catalogue_from_state: true,
@@ -266,7 +309,7 @@
                 body,
             } => self.on_request(id, interface, &method, &path, &body),
             Input::Gone { id } => {
-                if let Some(lead) = &mut self.lead {
+                for lead in self.grants_mut() {
                     lead.forget_checkin(id);
                 }
             }
@@ -284,12 +327,21 @@
         if self.context.catalogue.is_none() {
             at = at.min(self.catalogue_at);
         }
-        if let Some(lead) = &self.lead {
+        for lead in self.lead.iter().chain(self.partitions.holders.values()) {
             at = at.min(lead.next_wake(&self.context));
         }
+        if self.context.understands_partitions() {
+            at = at.min(self.partitions.next_wake());
+        }
         at.max(self.context.now.steady + MILLI)
     }
 
+    /// All grants that this node acts under: as the leader, and as the holder of partitions.
+    pub(crate) fn grants_mut(&mut self) -> impl Iterator<Item = &mut Box<Lead>> {
+        let holders = self.partitions.holders.values_mut();
+        self.lead.iter_mut().chain(holders)
+    }
+
     /// Whether this node can take users' requests.
     pub fn healthy(&self) -> bool {
         self.context.catalogue.is_some() && self.context.in_contact(CONTACT_SPAN)
@@ -338,6 +390,7 @@
             }
         };
         let mut confirmed = None;
+        let mut report = None;
         match request {
             PeerRequest::Contact {
                 from,
@@ -363,6 +416,7 @@
                     }
                 }
             }
+            PeerRequest::Partition(orders) => report = self.on_orders(orders),
         }
         let answer = PeerAnswer {
             member: self.context.settings.member.clone(),
@@ -370,6 +424,8 @@
             token: self.context.token,
             grant: self.election.grant(),
             confirmed,
+            partitions: self.context.understands_partitions(),
+            report,
         };
         self.context.out.push(Effect::Answer {
             id,
@@ -390,9 +446,11 @@
             | Pending::User(_)
             | Pending::View(_)
             | Pending::Catalogue(true) => true,
-            Pending::Lead { what, .. } => {
-                !matches!(what, LeadCall::Fleet(_) | LeadCall::Direct { .. })
-            }
+            Pending::Lead { what, .. } => !matches!(
+                what,
+                LeadCall::Fleet(_) | LeadCall::Direct { .. } | LeadCall::Orders { .. }
+            ),
+            Pending::PartitionMap(_) | Pending::PartitionClaim { .. } => true,
             _ => false,
         };
         if let (true, Outcome::Answer { status, .. }) = (of_state && !stale, &outcome) {
@@ -409,11 +467,13 @@
                 what: LeadCall::Extend,
                 ..
             } if stale && !matches!(outcome, Outcome::Answer { status: 404, .. }) => {}
-            Pending::Lead { token, what } => {
-                if self.lead.as_ref().is_some_and(|l| l.token == token) {
-                    self.on_lead_reply(what, outcome);
-                }
+            Pending::Lead { token, what } => self.on_lead_reply(token, what, outcome),
+            // A claim that was made before a standstill may have ended since.
+            Pending::PartitionClaim { partition, step } if stale => {
+                self.on_claim(partition, step, Outcome::Unknown)
             }
+            Pending::PartitionClaim { partition, step } => self.on_claim(partition, step, outcome),
+            Pending::PartitionMap(call) => self.on_partition_map(call, outcome),
             // What users are told may have changed too: it is asked for anew.
             Pending::User(user) if stale => self.on_user_reply(user, Outcome::Unknown),
             Pending::View(what) if stale => self.on_view(what, made, Outcome::Unknown),
@@ -474,6 +534,7 @@
         self.run_election();
         self.run_view();
         self.run_lead(watch);
+        self.run_partitions(watch);
         self.run_unproven();
     }
 }
--- /dev/null
+++ b/crates/core/src/partitions/holder.rs
@@ -0,0 +1,413 @@
+//! The holder of a partition: carries out the leader's orders on its machines and reports to it.
+
+use crate::jobs::JobIndex;
+use crate::leadership::{Lead, Role};
+use crate::node::{Context, Node};
+use crate::workers::{Assignment, ExitedAttempt, Machine, Seen, Stop};
+use crate::{Micros, SECOND};
+use grebewood_wire::http::{ExitCause, TaskReport, TaskStatus};
+use grebewood_wire::peer::{
+    MachineState, PartitionOrders, PartitionReport, PlacedTask, TaskAttempt, TaskEnd, TaskOutcome,
+    TaskState,
+};
+use log::{debug, info};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Most outcomes, and most states of machines, in one report.
+const MOST_OUTCOMES: usize = 500;
+const MOST_STATES: usize = 300;
+/// How long the leader is told of a machine that was released.
+const GONE_TOLD: Micros = 60 * SECOND;
+
+/// What a holder knows beyond its machines.
+#[derive(Clone, Debug, Default)]
+pub struct Holding {
+    /// Term and number of the last orders.
+    last: (u64, u64),
+    /// The term of the leader that told all tasks that may be on the machines; 0: none yet.
+    synced_term: u64,
+    /// Attempts that have ended, until the leader has that on record.
+    outcomes: BTreeMap<TaskAttempt, TaskOutcome>,
+    /// The states of machines as last told, each with its version.
+    states: BTreeMap<String, (u64, MachineState)>,
+    version: u64,
+    /// When this node learned of a job's cancellation.
+    cancelled: BTreeMap<String, Micros>,
+    /// Check-ins answered since the claim.
+    pub(crate) checkins: u64,
+}
+
+impl Holding {
+    /// Whether a leader has told all tasks that may be on the machines.
+    pub(crate) fn knows_tasks(&self) -> bool {
+        self.synced_term > 0
+    }
+
+    /// Notes that a job is cancelled, from whatever source.
+    pub(crate) fn note_cancelled(&mut self, job: &str, now: Micros) {
+        self.cancelled.entry(job.to_string()).or_insert(now);
+    }
+
+    /// Whether the leader has the attempt's end on record, so that the worker may forget it.
+    pub(crate) fn is_settled(&self, attempt: Option<TaskAttempt>) -> bool {
+        attempt.is_none_or(|id| !self.outcomes.contains_key(&id))
+    }
+}
+
+impl Node {
+    /// Takes orders for a partition. Only the leader that the state service names may give them.
+    pub(crate) fn on_orders(&mut self, orders: PartitionOrders) -> Option<PartitionReport> {
+        if !self.election.leader_is(&orders.from, orders.term) {
+            debug!("orders of {}, who does not lead", orders.from);
+            return None;
+        }
+        let holder = self.partitions.holders.get_mut(&orders.partition)?;
+        holder.carry_out_orders(&mut self.context, orders)
+    }
+}
+
+impl Node {
+    /// What a peer said of a cancellation is never trusted over state: a job that the state service
+    /// still shows as live and not cancelled, in an answer that was asked for since, runs on.
+    pub(crate) fn retract_cancellations(&mut self) {
+        let read_up_to = self.context.cancellations.read_up_to();
+        let (view, holders) = (&self.view, self.partitions.holders.values_mut());
+        for holder in holders {
+            let jobs = &holder.jobs;
+            holder
+                .holding
+                .cancelled
+                .retain(|id, _| jobs.find(id).is_some());
+            let learned = holder.holding.cancelled.iter();
+            let wrong = learned.filter(|(id, at)| {
+                **at < read_up_to && view.get(id).is_some_and(|job| !job.cancelled)
+            });
+            let wrong: Vec<String> = wrong.map(|(id, _)| id.clone()).collect();
+            for id in wrong {
+                holder.holding.cancelled.remove(&id);
+                holder.retract_cancellation(&mut self.context, &id);
+            }
+        }
+    }
+}
+
+impl Lead {
+    /// Carries out orders and answers with a report. Orders that are out of order, or meant for another
+    /// claim, are dropped: a late copy of one would launch again what has ended since.
+    pub(crate) fn carry_out_orders(
+        &mut self,
+        context: &mut Context,
+        orders: PartitionOrders,
+    ) -> Option<PartitionReport> {
+        let number = (orders.term, orders.sequence);
+        if orders.claim != self.token || number <= self.holding.last || self.doubtful() {
+            return None;
+        }
+        self.holding.last = number;
+        if !self.jobs_are_read() {
+            return Some(self.partition_report(context, orders.seen, orders.term, Vec::new()));
+        }
+        if let Some(tasks) = &orders.sync {
+            self.reconcile(context, orders.term, tasks);
+        }
+        for attempt in &orders.acknowledged {
+            self.holding.outcomes.remove(attempt);
+        }
+        for machine in &orders.released {
+            self.released(context, machine);
+        }
+        let mut accepted = Vec::new();
+        if self.holding.synced_term == orders.term {
+            for task in &orders.launches {
+                if self.take_over(context, task) {
+                    accepted.push(task.id());
+                }
+            }
+        }
+        for stop in &orders.stops {
+            let ordered = |a: &Assignment| a.id() == stop.id;
+            self.stop_on(context, &stop.machine, stop.grace_us, ordered);
+        }
+        self.pending_changed = true;
+        Some(self.partition_report(context, orders.seen, orders.term, accepted))
+    }
+
+    /// Compares what the leader says may be on the machines with what is known here. What it does not
+    /// know any more was never launched, or has ended by its books: it is dropped, or stopped.
+    fn reconcile(&mut self, context: &mut Context, term: u64, tasks: &[PlacedTask]) {
+        let first = !self.holding.knows_tasks();
+        let listed: BTreeSet<TaskAttempt> = tasks.iter().map(PlacedTask::id).collect();
+        let names: Vec<String> = self.machines.keys().cloned().collect();
+        for name in names {
+            self.stop_on(context, &name, 0, |a| !listed.contains(&a.id()));
+        }
+        for task in tasks {
+            let known = self.has_attempt(task) || !self.holding.is_settled(Some(task.id()));
+            if !known {
+                self.adopt(context, task);
+            }
+        }
+        self.holding.synced_term = term;
+        if first {
+            self.loaded_at = context.now.steady;
+            self.heard_at = context.now.steady;
+            info!("partition: {} tasks may be on its machines", tasks.len());
+        }
+    }
+
+    fn has_attempt(&self, task: &PlacedTask) -> bool {
+        let machine = self.machines.get(&task.machine);
+        machine.is_some_and(|m| {
+            let mut assignments = m.assignments.iter();
+            assignments.any(|a| a.id() == task.id())
+        })
+    }
+
+    /// Takes over a task that an earlier holder, or the leader itself, may have launched. It is never
+    /// launched here: either a report shows it, or it is gone.
+    fn adopt(&mut self, context: &mut Context, task: &PlacedTask) {
+        let zone = self.holder_zone(&task.machine);
+        self.recovered_machine(context, &task.machine, &zone, task.session);
+        let mut assignment = self.assignment_of(context, task, zone);
+        assignment.launched = Some((0, 0));
+        let job = self.jobs.get(assignment.job);
+        let over = job.is_none_or(|job| job.cancelled.is_some());
+        assignment.stop = over.then_some(Stop {
+            grace: 0,
+            since: context.now.steady,
+            sent: None,
+        });
+        self.hold(&task.machine, assignment);
+    }
+
+    fn holder_zone(&self, machine: &str) -> String {
+        let known = self.machines.get(machine).map(|m| m.zone.clone());
+        known.unwrap_or_default()
+    }
+
+    /// Takes over a task that is to be launched. False: not yet, since its job is not known here.
+    fn take_over(&mut self, context: &mut Context, task: &PlacedTask) -> bool {
+        if self.has_attempt(task) || !self.holding.is_settled(Some(task.id())) {
+            return true;
+        }
+        if self.jobs.find(&task.job).is_none() {
+            return false;
+        }
+        let now = context.now.steady;
+        let silence = 3 * context.settings.report;
+        let machine = self.machines.get(&task.machine);
+        let fits = machine.is_some_and(|m| m.session == task.session && m.usable(now, silence));
+        let zone = self.holder_zone(&task.machine);
+        let assignment = self.assignment_of(context, task, zone);
+        if !fits {
+            // It is never launched: the leader places it anew.
+            debug!("{}/{}: refused for {}", task.job, task.task, task.machine);
+            self.note_end(&task.machine, &assignment, TaskEnd::Gone);
+            return true;
+        }
+        self.hold(&task.machine, assignment);
+        self.unpark(context, &task.machine);
+        true
+    }
+
+    fn assignment_of(&self, context: &Context, task: &PlacedTask, zone: String) -> Assignment {
+        let index = self.jobs.find(&task.job);
+        let spec = index
+            .and_then(|index| self.jobs.get(index))
+            .map(|j| &j.spec);
+        Assignment {
+            job: index.unwrap_or(JobIndex::MAX),
+            job_id: task.job.clone(),
+            task: task.task,
+            attempt: task.attempt,
+            session: task.session,
+            // Its record is the leader's.
+            page: 0,
+            written: 0,
+            cpus: spec.map_or(0.0, |s| s.cpus),
+            gpus: spec.map_or(0.0, |s| s.gpus),
+            memory: spec.map_or(0.0, |s| s.memory_gb),
+            team: spec.map_or(String::new(), |s| s.team.clone()),
+            zone,
+            launched: None,
+            delivered: true,
+            seen: Seen::Never,
+            decided: context.now.steady,
+            started: None,
+            expected: task.expected_us,
+            stop: None,
+        }
+    }
+
+    /// Notes how an attempt ended, for the leader.
+    pub(crate) fn note_end(&mut self, machine: &str, a: &Assignment, end: TaskEnd) {
+        self.holding
+            .outcomes
+            .entry(a.id())
+            .or_insert_with(|| TaskOutcome {
+                machine: machine.to_string(),
+                job: a.job_id.clone(),
+                task: a.task,
+                attempt: a.attempt,
+                end,
+            });
+    }
+
+    /// A task on a machine of the partition has exited: the leader is told, and the worker keeps the
+    /// result until the leader has it on record.
+    pub(crate) fn exited_in_partition(
+        &mut self,
+        context: &mut Context,
+        name: &str,
+        at: usize,
+        cause: &ExitCause,
+        task_name: &str,
+    ) {
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        let assignment = machine.assignments[at].clone();
+        machine.exited_attempts.push(ExitedAttempt {
+            task_name: task_name.to_string(),
+            attempt: assignment.attempt,
+            after: Vec::new(),
+            job: Some(assignment.job),
+        });
+        self.note_end(name, &assignment, TaskEnd::Exited(cause.clone()));
+        self.free(context, name, at);
+    }
+
+    /// A worker reports the exit of an attempt that the leader did not speak of: it has that on record,
+    /// or knows what it means.
+    pub(crate) fn note_unknown_exit(
+        &mut self,
+        name: &str,
+        job: &str,
+        task: u64,
+        reported: &TaskReport,
+    ) {
+        let unknown = ExitCause::Unknown(String::new());
+        let cause = reported.cause.clone().unwrap_or(unknown);
+        let outcome = TaskOutcome {
+            machine: name.to_string(),
+            job: job.to_string(),
+            task,
+            attempt: reported.attempt,
+            end: TaskEnd::Exited(cause),
+        };
+        self.holding.outcomes.entry(outcome.id()).or_insert(outcome);
+    }
+
+    /// A holder's timers.
+    pub(crate) fn run_holder(&mut self, context: &mut Context) {
+        if !self.loaded() {
+            return;
+        }
+        self.run_machines(context);
+        self.run_releases(context);
+        self.run_pending(context);
+    }
+
+    /// When a holder has to act next.
+    pub(crate) fn holder_wake(&self) -> Micros {
+        let mut at = self.next_machine_check.min(self.parked.next_until());
+        if !self.pending_checkins.is_empty() {
+            at = at.min(self.pending_until);
+        }
+        match self.loaded() {
+            true => at.min(self.fleet.release_wake()),
+            false => Micros::MAX,
+        }
+    }
+
+    /// Whether this is the grant of a partition's holder.
+    pub(crate) fn is_holder(&self) -> bool {
+        self.role != Role::Leader
+    }
+
+    fn partition_report(
+        &mut self,
+        context: &Context,
+        seen: u64,
+        term: u64,
+        accepted: Vec<TaskAttempt>,
+    ) -> PartitionReport {
+        self.note_states(context);
+        let states = self.holding.states.values();
+        let mut changed: Vec<&(u64, MachineState)> =
+            states.filter(|(version, _)| *version > seen).collect();
+        changed.sort_by_key(|(version, _)| *version);
+        changed.truncate(MOST_STATES);
+        let version = changed.last().map_or(seen, |(version, _)| *version);
+        let outcomes = self.holding.outcomes.values().take(MOST_OUTCOMES);
+        PartitionReport {
+            claim: self.token,
+            synced: self.holding.synced_term == term,
+            accepted,
+            outcomes: outcomes.cloned().collect(),
+            machines: changed
+                .into_iter()
+                .map(|(_, state)| state.clone())
+                .collect(),
+            gone: self.fleet.gone_within(context.now.steady, GONE_TOLD),
+            version,
+            checkins: self.holding.checkins,
+        }
+    }
+
+    /// Gives each machine whose state has changed since it was last told the next version.
+    fn note_states(&mut self, context: &Context) {
+        let machines = &self.machines;
+        self.holding
+            .states
+            .retain(|name, _| machines.contains_key(name));
+        for (name, machine) in &self.machines {
+            if machine.address.is_empty() {
+                continue;
+            }
+            let state = machine_state(context, machine);
+            let known = self.holding.states.get(name);
+            if known.is_none_or(|(_, known)| !same_state(known, &state)) {
+                self.holding.version += 1;
+                let version = self.holding.version;
+                self.holding.states.insert(name.clone(), (version, state));
+            }
+        }
+    }
+}
+
+/// Whether two states say the same; the time to a recall runs by itself.
+fn same_state(a: &MachineState, b: &MachineState) -> bool {
+    a.session == b.session
+        && (a.counts, a.hears, a.closing) == (b.counts, b.hears, b.closing)
+        && a.recall_us.is_some() == b.recall_us.is_some()
+        && a.tasks == b.tasks
+        && a.address == b.address
+}
+
+fn machine_state(context: &Context, machine: &Machine) -> MachineState {
+    let now = context.now.steady;
+    let silence = 3 * context.settings.report;
+    let tasks = machine.assignments.iter().filter_map(|a| {
+        let status = match a.seen {
+            Seen::Never => return None,
+            Seen::Fetching => TaskStatus::Fetching,
+            Seen::Running => TaskStatus::Running,
+            Seen::Saving => TaskStatus::Saving,
+        };
+        Some(TaskState { id: a.id(), status })
+    });
+    MachineState {
+        machine: machine.name.clone(),
+        address: machine.address.clone(),
+        machine_type: machine.machine_type.clone(),
+        zone: machine.zone.clone(),
+        spot: machine.spot,
+        session: machine.session,
+        counts: machine.counts(now, silence),
+        hears: machine.hears,
+        closing: machine.closing,
+        recall_us: machine.recall_at.map(|at| at.saturating_sub(now)),
+        tasks: tasks.collect(),
+    }
+}
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -525,6 +525,7 @@
             team: spec.team.clone(),
             zone: m.zone.clone(),
             launched: None,
+            delivered: false,
             seen: Seen::Never,
             decided: now,
             started: None,
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -205,6 +205,16 @@
     preempt_after_us: u64 = SECOND / 2, 0, 600 * SECOND;
     /// Time between two reads of the cloud's machine list, in microseconds.
     list_interval_us: u64 = 3 * SECOND, 100_000, 600 * SECOND;
+    /// Partitions of each zone, which the controllers share; 0: the leader looks after all machines.
+    partitions_per_zone: u64 = 0, 0, 64;
+    /// Time between two messages to the holder of a partition, in microseconds.
+    partition_poll_us: u64 = SECOND / 10, 10_000, 10 * SECOND;
+    /// Least time between two moves of partitions for the sake of balance, in microseconds.
+    partition_move_interval_us: u64 = 30 * SECOND, SECOND, 86_400 * SECOND;
+    /// Part of the mean load by which a controller must lie above it before it gives a partition away.
+    partition_hysteresis: f64 = 0.25, 0.01, 10.0;
+    /// 1: no partition is moved for the sake of balance.
+    partition_moves_paused: u64 = 0, 0, 1;
     /// Largest number of machines rented at once, booting ones included.
     fleet_max: u64 = 20_000, 1, 100_000;
 }
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -387,7 +387,8 @@
         self.finished.insert(&call.job, finished.clone());
         let Now { steady, wall } = self.context.now;
         self.context.cancellations.tell(&call.job, steady, wall);
-        if let Some(lead) = &mut self.lead {
+        let holders = self.partitions.holders.values_mut();
+        for lead in self.lead.iter_mut().chain(holders) {
             lead.on_cancelled(&mut self.context, &call.job, None);
         }
         self.user_finished(call.clone(), &finished);
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -309,9 +309,7 @@
         let at = wire::http::from_value::<CancelRecord>(value).map(|r| r.cancelled_us);
         let at = at.unwrap_or(self.context.now.wall);
         self.context.cancellations.learn(id, at);
-        if let Some(lead) = &mut self.lead {
-            lead.apply_cancellation(&mut self.context, id);
-        }
+        self.apply_cancellation(id);
     }
 
     /// The view is no older than the request.
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -6,11 +6,13 @@
 use crate::node::{Context, LeadCall, Node};
 use crate::placement::{permits, slots};
 use crate::{micros, Micros, Outcome, Target, MILLI, SECOND};
+use grebewood_partition::PartitionId;
 use grebewood_wire as wire;
 use grebewood_wire::http::{
     CheckinAnswer, Command, DirectCommands, ExitCause, MachineType, Redirect, Report, Submission,
     TaskReport, TaskStatus, Verb,
 };
+use grebewood_wire::peer::{TaskAttempt, TaskEnd};
 use grebewood_wire::records::DONE_SPAN;
 use log::{error, info, warn};
 use std::collections::VecDeque;
@@ -93,6 +95,7 @@
             };
             Machine::new(&report, None, context.now.steady)
         });
+        machine.partition = self.remote.partition_of(&machine.zone, name);
         // Reports of earlier sessions are older than what is on record.
         machine.session = machine.session.max(session);
         machine
@@ -120,6 +123,16 @@
         self.count_running(at, index, Seen::Never, seen);
     }
 
+    /// The assignment's page will be written without it.
+    fn remove_from_page(&mut self, context: &Context, name: &str, a: &Assignment) {
+        self.page_mut(a.page).remove(name, a);
+        // Every page loses something all the time: with many pages the writes must be further apart.
+        let pages = self.pages.len() as f64 / (context.settings.state.write_rps * FREE_WRITES);
+        let delay = FREE_DELAY.max((pages * 1e6) as Micros);
+        self.ledger
+            .touch_lazily(RecordId::Page(a.page), context.now.steady + delay);
+    }
+
     /// Removes an assignment of which it is proven that its task is not on the machine and will
     /// not come there.
     pub(crate) fn free(&mut self, context: &mut Context, name: &str, at: usize) {
@@ -134,12 +147,10 @@
             *used = (used.0 - a.cpus, used.1 - a.gpus);
         }
         self.count_running(now, a.job, a.seen, Seen::Never);
-        self.page_mut(a.page).remove(name, &a);
-        // Every page loses something all the time: with many pages the writes must be further apart.
-        let pages = self.pages.len() as f64 / (context.settings.state.write_rps * FREE_WRITES);
-        let delay = FREE_DELAY.max((pages * 1e6) as Micros);
-        self.ledger
-            .touch_lazily(RecordId::Page(a.page), now + delay);
+        match self.is_holder() {
+            true => self.note_end(name, &a, TaskEnd::Gone),
+            false => self.remove_from_page(context, name, &a),
+        }
         if let Some(job) = self.jobs.get_mut(a.job) {
             job.give_back(a.task);
             if let Some(n) = job.zones.get_mut(&a.zone) {
--- a/crates/core/src/workers/checkins.rs
+++ b/crates/core/src/workers/checkins.rs
@@ -5,6 +5,7 @@
 impl Lead {
     pub(super) fn on_checkin(&mut self, context: &mut Context, request: u64, report: Report) {
         let now = context.now.steady;
+        self.holding.checkins += 1;
         if !self.loaded() {
             self.heard_at = now;
             // Renews the lease and announces the token while state is still being read, which an
@@ -79,7 +80,7 @@
         context.answer(request, 200, &answer);
     }
 
-    pub(super) fn is_durable(&self, after: &[(RecordId, u64)], job: Option<JobIndex>) -> bool {
+    pub(crate) fn is_durable(&self, after: &[(RecordId, u64)], job: Option<JobIndex>) -> bool {
         // Once a job is over, its terminal record stands for all of its tasks.
         let over = job.is_some_and(|index| self.jobs.get(index).is_none());
         after.iter().all(|(rec, version)| {
@@ -99,7 +100,8 @@
             return commands;
         }
         for r in &m.exited_attempts {
-            if commands.len() < MOST_COMMANDS && self.is_durable(&r.after, r.job) {
+            let settled = self.is_durable(&r.after, r.job) && self.holding.is_settled(r.id());
+            if commands.len() < MOST_COMMANDS && settled {
                 commands.push(Command {
                     verb: Verb::Acknowledge,
                     task_name: r.task_name.clone(),
@@ -153,6 +155,9 @@
             return self.context.refuse(id, 400, why);
         }
         self.context.token = self.context.token.max(report.token);
+        if let Some(partition) = self.partition_to_report_to(&report) {
+            return self.on_partition_checkin(id, partition, report);
+        }
         let me = self.context.settings.member.clone();
         let unread = self.lead.as_ref().is_some_and(|l| !l.loaded());
         let blind = unread && !self.may_renew();
@@ -161,6 +166,10 @@
             Some(lead) if lead.doubtful() => {
                 self.context.refuse(id, 503, "it is not certain who leads");
             }
+            // Its machine may be in a partition: an answer would take it from its holder.
+            Some(lead) if !lead.knows_partitions(&self.context) => {
+                self.context.refuse(id, 503, "partitions are not known yet");
+            }
             // Before state is read only the node's own knowledge of cancellations stops tasks.
             Some(_) if blind => {
                 self.context
@@ -182,4 +191,46 @@
             }
         }
     }
+
+    /// The partition of a reporting machine. The leader goes by what it read under its grant, other
+    /// nodes by their copy of the map: that only decides where a worker is sent.
+    fn partition_to_report_to(&self, report: &Report) -> Option<PartitionId> {
+        match &self.lead {
+            Some(lead) => lead.remote.partition_of(&report.zone, &report.machine),
+            None => self.partitions.map.find(&report.zone, &report.machine),
+        }
+    }
+
+    /// A check-in of a machine that is in a partition: its holder answers it, others lead it there.
+    fn on_partition_checkin(&mut self, id: u64, partition: PartitionId, report: Report) {
+        let may_renew = self.may_renew();
+        let Some(holder) = self.partitions.holders.get_mut(&partition) else {
+            return match self.holder_to_report_to(partition) {
+                Some(leader) => self.context.answer(
+                    id,
+                    421,
+                    &Redirect {
+                        leader: Some(leader),
+                    },
+                ),
+                None => self
+                    .context
+                    .refuse(id, 503, "its partition is not held yet"),
+            };
+        };
+        if holder.doubtful() {
+            return self
+                .context
+                .refuse(id, 503, "it is not certain who holds it");
+        }
+        if !holder.loaded() && !may_renew {
+            return self
+                .context
+                .refuse(id, 503, "cancellations are not known yet");
+        }
+        match report.token <= holder.token {
+            true => holder.on_checkin(&mut self.context, id, report),
+            false => self.context.answer(id, 421, &Redirect { leader: None }),
+        }
+    }
 }
--- a/crates/core/src/workers/exits.rs
+++ b/crates/core/src/workers/exits.rs
@@ -22,7 +22,7 @@
     }
 
     /// An assignment's task has exited.
-    pub(super) fn exited(
+    pub(crate) fn exited(
         &mut self,
         context: &mut Context,
         name: &str,
@@ -30,6 +30,9 @@
         cause: &ExitCause,
         task_name: &str,
     ) {
+        if self.is_holder() {
+            return self.exited_in_partition(context, name, at, cause, task_name);
+        }
         let now = context.now.steady;
         let Some(m) = self.machines.get_mut(name) else {
             return;
@@ -142,7 +145,7 @@
 
     /// A worker reports an exit of an attempt that is on no page of ours, such as one whose
     /// removal was written before an earlier leader could have it acknowledged.
-    pub(super) fn exited_unknown(
+    pub(crate) fn exited_unknown(
         &mut self,
         context: &mut Context,
         name: &str,
@@ -160,7 +163,9 @@
         }
         let index = self.jobs.find(job_id);
         let mut after = Vec::new();
-        if let (Some(ExitCause::Done), Some(index)) = (&s.cause, index) {
+        if self.is_holder() {
+            self.note_unknown_exit(name, job_id, task, s);
+        } else if let (Some(ExitCause::Done), Some(index)) = (&s.cause, index) {
             after.extend(self.completed(context, index, task));
             self.end_if_over(context, index);
         }
--- a/crates/core/src/workers/machine.rs
+++ b/crates/core/src/workers/machine.rs
@@ -40,6 +40,8 @@
     /// The (session, sequence) of the check-in whose answer carried the launch. An assignment read
     /// back from state counts as launched by an older holder: `(0, 0)`.
     pub launched: Option<(u64, u64)>,
+    /// Whether the holder of the machine's partition has taken it over.
+    pub delivered: bool,
     pub seen: Seen,
     /// When it was decided.
     pub decided: Micros,
@@ -55,6 +57,36 @@
         self.launched == Some((0, 0))
     }
 
+    /// Which attempt of which task it is.
+    pub fn id(&self) -> TaskAttempt {
+        TaskAttempt {
+            attempt: self.attempt,
+            task: self.task,
+        }
+    }
+
+    /// Takes in what the worker says of it.
+    pub fn see(&mut self, status: &TaskStatus, now: Micros) {
+        self.seen = match status {
+            TaskStatus::Running => Seen::Running,
+            TaskStatus::Saving => Seen::Saving,
+            TaskStatus::Fetching | TaskStatus::Exited => Seen::Fetching,
+            TaskStatus::Unknown(word) => {
+                warn!("{}/{}: {word:?} as status", self.job_id, self.task);
+                Seen::Fetching
+            }
+        };
+        if self.seen == Seen::Running && self.started.is_none() {
+            // When a task of an earlier leader began is not known: halfway, say.
+            let ran = if self.recovered() {
+                self.expected / 2
+            } else {
+                0
+            };
+            self.started = Some(now.saturating_sub(ran));
+        }
+    }
+
     /// Whether the worker may have it.
     pub fn may_exist(&self) -> bool {
         self.launched.is_some()
@@ -83,10 +115,25 @@
     pub job: Option<JobIndex>,
 }
 
+impl ExitedAttempt {
+    /// Which attempt of which task it was.
+    pub fn id(&self) -> Option<TaskAttempt> {
+        let (_, task) = parse_task(&self.task_name)?;
+        Some(TaskAttempt {
+            attempt: self.attempt,
+            task,
+        })
+    }
+}
+
 /// A machine.
 #[derive(Clone, Debug)]
 pub struct Machine {
     pub name: String,
+    /// The partition whose holder looks after it; none: this node does itself.
+    pub partition: Option<PartitionId>,
+    /// Whether that holder counts on it.
+    pub counted_by_holder: bool,
     pub address: String,
     pub machine_type: String,
     pub zone: String,
@@ -158,6 +205,8 @@
     pub fn new(report: &Report, machine_type: Option<&MachineType>, now: Micros) -> Self {
         Machine {
             name: report.machine.clone(),
+            partition: None,
+            counted_by_holder: false,
             address: report.address.clone(),
             machine_type: report.machine_type.clone(),
             zone: report.zone.clone(),
@@ -195,6 +244,33 @@
         }
     }
 
+    /// Takes in what a report says of the machine itself, which until now was known from state only, or
+    /// whose type was not known: without its type's room it would stay empty for good.
+    pub(crate) fn describe(
+        &mut self,
+        report: &Report,
+        machine_type: Option<&MachineType>,
+        now: Micros,
+    ) {
+        let known = Machine::new(report, machine_type, now);
+        *self = Machine {
+            partition: self.partition,
+            counted_by_holder: self.counted_by_holder,
+            assignments: std::mem::take(&mut self.assignments),
+            used: self.used,
+            exited_attempts: std::mem::take(&mut self.exited_attempts),
+            session: self.session,
+            sequence: self.sequence,
+            knows_token: self.knows_token,
+            closing: self.closing,
+            emptying: self.emptying,
+            listed: self.listed,
+            hears: self.hears,
+            deaf_since: self.deaf_since,
+            ..known
+        };
+    }
+
     /// Free CPUs, accelerators and memory. Everything counts from assignment to proof.
     pub fn free(&self) -> (f64, f64, f64) {
         let (c, g, m) = self.used;
--- a/crates/core/src/workers/pending_checkins.rs
+++ b/crates/core/src/workers/pending_checkins.rs
@@ -174,7 +174,19 @@
     pub(super) fn may_be_answered(&self, context: &Context, h: &PendingCheckin) -> bool {
         context.now.steady >= h.until
             || !context.in_contact(2 * SECOND)
-            || (self.placement.rounds >= h.round && !self.waits_for_flush(&h.machine))
+            || (self.placement.rounds >= h.round
+                && !self.waits_for_flush(&h.machine)
+                && !self.waits_for_leader(&h.machine))
+    }
+
+    /// Whether the leader, told of an exit, may have the next task for the machine at once.
+    fn waits_for_leader(&self, name: &str) -> bool {
+        let machine = self.machines.get(name).filter(|_| self.is_holder());
+        machine.is_some_and(|m| {
+            let unsettled = |e: &ExitedAttempt| !self.holding.is_settled(e.id());
+            m.exited_attempts.iter().any(unsettled)
+                && m.assignments.iter().all(|a| a.launched.is_some())
+        })
     }
 
     fn waits_for_flush(&self, name: &str) -> bool {
--- a/crates/core/src/workers/reports.rs
+++ b/crates/core/src/workers/reports.rs
@@ -27,24 +27,8 @@
         if (report.session, report.sequence) <= (m.session, m.sequence) {
             return false;
         }
-        // Known from state only until now, or reported before the machine types were known: a
-        // machine without its type's room would stay empty for good.
         if m.address.is_empty() || m.cpus <= 0.0 {
-            let known = Machine::new(&report, context.machine_type(&report.machine_type), now);
-            *m = Machine {
-                assignments: std::mem::take(&mut m.assignments),
-                used: m.used,
-                exited_attempts: std::mem::take(&mut m.exited_attempts),
-                session: m.session,
-                sequence: m.sequence,
-                knows_token: m.knows_token,
-                closing: m.closing,
-                emptying: m.emptying,
-                listed: m.listed,
-                hears: m.hears,
-                deaf_since: m.deaf_since,
-                ..known
-            };
+            m.describe(&report, context.machine_type(&report.machine_type), now);
         }
         m.address = report.address.clone();
         m.last_report = now;
@@ -147,20 +131,7 @@
                     };
                     let a = &mut m.assignments[at];
                     let before = a.seen;
-                    a.seen = match &s.status {
-                        TaskStatus::Running => Seen::Running,
-                        TaskStatus::Saving => Seen::Saving,
-                        TaskStatus::Fetching | TaskStatus::Exited => Seen::Fetching,
-                        TaskStatus::Unknown(word) => {
-                            warn!("{}: {name} gives {word:?} as status", s.task_name);
-                            Seen::Fetching
-                        }
-                    };
-                    if a.seen == Seen::Running && a.started.is_none() {
-                        // When a task of an earlier leader began is not known: halfway, say.
-                        let ran = if a.recovered() { a.expected / 2 } else { 0 };
-                        a.started = Some(now.saturating_sub(ran));
-                    }
+                    a.see(&s.status, now);
                     let (index, seen) = (a.job, a.seen);
                     self.count_running(now, index, before, seen);
                 }
@@ -211,7 +182,7 @@
     }
 
     /// Counts a task of the job that began or ceased to run, as far as seen.
-    pub(super) fn count_running(&mut self, at: Micros, index: JobIndex, before: Seen, now: Seen) {
+    pub(crate) fn count_running(&mut self, at: Micros, index: JobIndex, before: Seen, now: Seen) {
         let (was, is) = (before == Seen::Running, now == Seen::Running);
         if was == is {
             return;
--- a/crates/core/src/workers/silence.rs
+++ b/crates/core/src/workers/silence.rs
@@ -16,8 +16,11 @@
             return false;
         }
         // Machines known from state only have yet to find this node: they get more time.
-        let lately =
-            |m: &&Machine| m.knows_token && now.saturating_sub(m.last_report) < silence * 4;
+        let lately = |m: &&Machine| {
+            m.partition.is_none()
+                && m.knows_token
+                && now.saturating_sub(m.last_report) < silence * 4
+        };
         match self.machines.values().filter(lately).count() {
             // Copies of a deleted machine's reports make no machine; nor does a page that lists one
             // which is gone from the cloud: leaders once gave up in turn, none stayed long enough
@@ -25,7 +28,9 @@
             0 => {
                 let list = self.fleet.has_list();
                 let real = |m: &Machine| {
-                    m.knows_token || (m.address.is_empty() && (m.listed.is_some() || !list))
+                    m.partition.is_none()
+                        && (m.knows_token
+                            || (m.address.is_empty() && (m.listed.is_some() || !list)))
                 };
                 since > silence * 4 && self.machines.values().any(real)
             }
@@ -55,6 +60,10 @@
             let Some(m) = self.machines.get_mut(&name) else {
                 continue;
             };
+            if m.partition.is_some() {
+                self.run_remote_machine(context, &name);
+                continue;
+            }
             let silent = now.saturating_sub(m.last_report);
             // A machine may answer direct commands and reach no controller: nothing can be launched there.
             // A replica was once placed on such a one again and again, each time for a further session.
@@ -148,6 +157,42 @@
         self.check_silent_serving(context, &silent_serving);
     }
 
+    /// What the leader itself sees to on a machine that the holder of a partition looks after.
+    fn run_remote_machine(&mut self, context: &mut Context, name: &str) {
+        let now = context.now.steady;
+        let (report, cancel) = (context.settings.report, context.settings.cancel);
+        let Some(m) = self.machines.get(name) else {
+            return;
+        };
+        let unheard = now.saturating_sub(m.last_checkin);
+        let session = m.session;
+        if m.recall_at.is_some() || unheard > 3 * report {
+            self.free_unlaunched(context, name);
+        }
+        while let Some(at) = self.position(name, |a| a.launched.is_none() && a.session != session) {
+            self.free(context, name, at);
+        }
+        let Some(m) = self.machines.get(name) else {
+            return;
+        };
+        // Its holder releases it after half of the time; where there is none in time, the leader does.
+        let overdue = m.assignments.iter().any(|a| {
+            let ago = self.jobs.get(a.job).and_then(|j| j.cancelled_for(now));
+            ago.is_some_and(|ago| ago > cancel * 5 / 8)
+        });
+        let forsaken = unheard > 3 * silent_release(context.settings.lease);
+        if (overdue || forsaken) && self.fleet.release(name, now) {
+            info!("{name}: released, its holder has not proven it free");
+        }
+        let useless = |a: &Assignment| self.jobs.get(a.job).is_none_or(|j| j.is_done(a.task));
+        let useless = m.assignments.iter().filter(|a| useless(a));
+        let useless: Vec<u64> = useless.map(|a| a.attempt).collect();
+        if !useless.is_empty() {
+            self.stop_on(context, name, 0, |a| useless.contains(&a.attempt));
+        }
+        self.move_replicas(context, name);
+    }
+
     /// Machines that hold replicas and are silent are asked directly, and released if that brings no
     /// answer either. Many at once are more likely cut off than gone, and keep serving meanwhile.
     pub(super) fn check_silent_serving(
--- a/crates/core/src/workers/stops.rs
+++ b/crates/core/src/workers/stops.rs
@@ -26,7 +26,10 @@
         let spec = index
             .and_then(|index| self.jobs.get(index))
             .map(|j| j.spec.clone());
-        let page = self.page_with_room(1);
+        let page = match self.is_holder() {
+            true => 0,
+            false => self.page_with_room(1),
+        };
         let assignment = Assignment {
             job: index.unwrap_or(JobIndex::MAX),
             job_id: job_id.to_string(),
@@ -41,6 +44,7 @@
             team: spec.as_ref().map_or(String::new(), |s| s.team.clone()),
             zone: report.zone.clone(),
             launched: Some((report.session, report.sequence)),
+            delivered: true,
             seen: Seen::Running,
             decided: now,
             started: Some(now),
@@ -51,8 +55,10 @@
                 sent: None,
             }),
         };
-        self.page_mut(page).add(&report.machine, &assignment);
-        self.ledger.touch(RecordId::Page(page), now);
+        if !self.is_holder() {
+            self.page_mut(page).add(&report.machine, &assignment);
+            self.ledger.touch(RecordId::Page(page), now);
+        }
         self.hold(&report.machine, assignment);
         self.send_direct(context, &report.machine);
     }
@@ -117,7 +123,8 @@
         let Some(m) = self.machines.get_mut(name) else {
             return;
         };
-        if m.address.is_empty() {
+        // The holder of its partition sends commands there.
+        if m.address.is_empty() || m.partition.is_some() {
             return;
         }
         let mut commands = Vec::new();
@@ -163,7 +170,7 @@
             return warn!("{name}: direct command got {status}");
         }
         match wire::from_cbor::<Report>(&body) {
-            Ok(report) if report.machine == name && self.machines.contains_key(name) => {
+            Ok(report) if report.machine == name && self.is_own_machine(name) => {
                 self.on_report(context, report, Source::Direct);
                 // It came within the call's time: commands reach this session now.
                 if let (200, Some(m)) = (status, self.machines.get_mut(name)) {
@@ -172,11 +179,19 @@
                     self.placement.want(context.now.steady);
                 }
             }
+            Ok(report) if report.machine == name => {}
             Ok(_) => warn!("{name}: another worker answers at its address"),
             Err(e) => warn!("{name}: {e}"),
         }
     }
 
+    /// Whether this node looks after the machine itself, and knows it.
+    fn is_own_machine(&self, name: &str) -> bool {
+        self.machines
+            .get(name)
+            .is_some_and(|m| m.partition.is_none())
+    }
+
     /// Stops what cannot finish before the cloud takes the machine.
     pub(super) fn drain_recalled(&mut self, context: &mut Context, name: &str) {
         let now = context.now.steady;
--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -33,6 +33,7 @@
 //!                                           live: pending or running
 //! at 5  starts JOB N                        its tasks came onto machines N times so far
 //! at 5  leaders N                           so many nodes lead
+//! at 5  partitions N held|moving|unclaimed  so many partitions are on record, all of them so
 //! at 5  machines N                          so many machines are rented
 //! at 5  request METHOD PATH STATUS [BODY]   a raw request at every node; BODY: hex digits
 //! at 5  crash NODE|leader|all [for=4]
--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -100,6 +100,18 @@
 }
 
 impl StateService {
+    /// Keys with this prefix, their values and stamps.
+    pub fn under<'a>(
+        &'a self,
+        prefix: &'a str,
+    ) -> impl Iterator<Item = (&'a str, &'a Value, u64)> + 'a {
+        let items = self
+            .items
+            .iter()
+            .filter(move |(key, _)| key.starts_with(prefix));
+        items.map(|(key, item)| (key.as_str(), &item.value, item.stamp))
+    }
+
     fn change(&mut self, key: &str, item: Option<Item>) {
         let value = item.as_ref().map(|i| i.value.clone());
         match item {
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -397,8 +397,13 @@
                     })
                     .collect();
                 let process = self.seq + 1;
+                let mut tuning = self.tuning.clone();
+                if self.old.contains(&n) {
+                    // The version before knows no partitions.
+                    tuning.partitions_per_zone = 0;
+                }
                 self.slots[n] = Slot {
-                    node: Some(Node::new(settings, self.tuning.clone(), process)),
+                    node: Some(Node::new(settings, tuning, process)),
                     process,
                     down_until: 0,
                     frozen_until: 0,
--- a/crates/testkit/src/world/script.rs
+++ b/crates/testkit/src/world/script.rs
@@ -1,6 +1,8 @@
 //! The events of a script.
 
 use super::*;
+use grebewood_partition::overview::Overview;
+use grebewood_partition::PartitionMap;
 
 impl World {
     pub(super) fn node_named(&self, word: &str) -> Result<usize, String> {
@@ -21,6 +23,17 @@
             .ok_or(format!("{name}: no such machine"))
     }
 
+    /// The phases of all partitions on record.
+    fn partition_phases(&self) -> Vec<&'static str> {
+        let mut map = PartitionMap::default();
+        for (key, value, stamp) in self.state.under("partition/") {
+            // What cannot be read is told by the map itself.
+            let _ = map.put(key, value, stamp);
+        }
+        let overview = Overview::of(&map, None, 0);
+        overview.partitions.iter().map(|row| row.phase).collect()
+    }
+
     pub(super) fn script(&mut self, line: Line) -> Result<(), String> {
         let now = self.now;
         if self.trouble(&line)? || self.check_line(&line)? {
@@ -85,6 +98,15 @@
                     return Err(format!("{got} nodes lead"));
                 }
             }
+            "partitions" => {
+                let wanted: usize = line.word(1)?.parse().map_err(|_| "no number".to_string())?;
+                let phase = line.word(2)?;
+                let got = self.partition_phases();
+                let matching = got.iter().filter(|p| **p == phase).count();
+                if got.len() != wanted || matching != wanted {
+                    return Err(format!("partitions are {}", got.join(", ")));
+                }
+            }
             "machines" => {
                 let got = self.machines.values().filter(|m| !m.gone).count();
                 if got.to_string() != line.word(1)? {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,5 +1,6 @@
 //! Messages between controllers: one request, one answer, over `POST /peer`.
 
+use crate::http::{ExitCause, TaskStatus};
 use serde::{Deserialize, Serialize};
 
 /// A question or hint to another controller.
@@ -27,6 +28,175 @@
         /// Progress of each job.
         jobs: Vec<(String, u64, u64)>,
     },
+    /// The leader's orders to the holder of a partition. Sent only to members that understand them.
+    Partition(PartitionOrders),
+}
+
+/// What the leader wants of the holder of a partition. Each message has a higher number than the one
+/// before; a holder drops those that arrive out of order, and those of a leader that the state service
+/// does not name.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PartitionOrders {
+    /// The leader's name.
+    pub from: String,
+    /// Its fencing token.
+    pub term: u64,
+    /// Number of the message within the term.
+    pub sequence: u64,
+    /// The partition.
+    pub partition: u64,
+    /// The fencing token of the claim that is addressed.
+    pub claim: u64,
+    /// All tasks that may be on its machines, for a holder that does not know them yet.
+    pub sync: Option<Vec<PlacedTask>>,
+    /// Tasks to launch. They are on record, and repeated until they are accepted.
+    pub launches: Vec<PlacedTask>,
+    /// Tasks to stop, repeated until they have ended.
+    pub stops: Vec<TaskStop>,
+    /// Attempts whose outcome is on record.
+    pub acknowledged: Vec<TaskAttempt>,
+    /// Machines whose release was answered.
+    pub released: Vec<String>,
+    /// The version up to which the leader knows the states of machines.
+    pub seen: u64,
+}
+
+/// An attempt of a task. The tasks of a gang share the number of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TaskAttempt {
+    /// The attempt's number, which no two jobs share.
+    pub attempt: u64,
+    /// The task's number.
+    pub task: u64,
+}
+
+/// A task on a machine of a partition.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PlacedTask {
+    /// The machine.
+    pub machine: String,
+    /// The worker's session.
+    pub session: u64,
+    /// The job.
+    pub job: String,
+    /// The task's number.
+    pub task: u64,
+    /// The attempt.
+    pub attempt: u64,
+    /// How long it is expected to stay.
+    pub expected_us: u64,
+}
+
+impl PlacedTask {
+    /// The attempt that it is.
+    pub fn id(&self) -> TaskAttempt {
+        TaskAttempt {
+            attempt: self.attempt,
+            task: self.task,
+        }
+    }
+}
+
+/// A task that is to be stopped.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TaskStop {
+    /// The machine.
+    pub machine: String,
+    /// The attempt.
+    pub id: TaskAttempt,
+    /// Time that it has to save.
+    pub grace_us: u64,
+}
+
+/// A holder's answer to [`PartitionOrders`].
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PartitionReport {
+    /// The fencing token of its claim.
+    pub claim: u64,
+    /// Whether it knows all tasks that may be on its machines. Until then it launches nothing.
+    pub synced: bool,
+    /// Attempts of the orders' launches that it has taken over.
+    pub accepted: Vec<TaskAttempt>,
+    /// Attempts that have ended, until the leader acknowledges them.
+    pub outcomes: Vec<TaskOutcome>,
+    /// States of machines that have changed since the version that the leader knows.
+    pub machines: Vec<MachineState>,
+    /// Machines whose release was answered lately.
+    pub gone: Vec<String>,
+    /// The version of the last of these states.
+    pub version: u64,
+    /// Check-ins answered since the claim.
+    pub checkins: u64,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TaskOutcome {
+    /// The machine.
+    pub machine: String,
+    /// The job.
+    pub job: String,
+    /// The task's number.
+    pub task: u64,
+    /// The attempt.
+    pub attempt: u64,
+    /// Its end.
+    pub end: TaskEnd,
+}
+
+impl TaskOutcome {
+    /// The attempt that ended.
+    pub fn id(&self) -> TaskAttempt {
+        TaskAttempt {
+            attempt: self.attempt,
+            task: self.task,
+        }
+    }
+}
+
+/// The end of an attempt.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum TaskEnd {
+    /// The worker reported its exit.
+    Exited(ExitCause),
+    /// It is proven that it is not on the machine and will not come there.
+    Gone,
+}
+
+/// What the holder knows of a machine.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineState {
+    /// Its name.
+    pub machine: String,
+    /// Where its worker takes direct commands.
+    pub address: String,
+    /// Its type.
+    pub machine_type: String,
+    /// Its zone.
+    pub zone: String,
+    /// Whether it is a spot machine.
+    pub spot: bool,
+    /// The worker's session.
+    pub session: u64,
+    /// Whether it counts for what the fleet can do.
+    pub counts: bool,
+    /// Whether answers reach it, so that tasks can be launched there.
+    pub hears: bool,
+    /// Whether it is to be returned.
+    pub closing: bool,
+    /// Time until the cloud takes it, if that is announced.
+    pub recall_us: Option<u64>,
+    /// Its tasks, as last reported.
+    pub tasks: Vec<TaskState>,
+}
+
+/// What a worker last said of an attempt.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TaskState {
+    /// The attempt.
+    pub id: TaskAttempt,
+    /// What it is doing.
+    pub status: TaskStatus,
 }
 
 /// The answer to a [`PeerRequest`].
@@ -44,6 +214,12 @@
     /// What it has confirmed to users; not from a version that does not remember it.
     #[serde(default)]
     pub confirmed: Option<Confirmed>,
+    /// Whether it understands partitions.
+    #[serde(default)]
+    pub partitions: bool,
+    /// The answer to [`PartitionOrders`].
+    #[serde(default)]
+    pub report: Option<PartitionReport>,
 }
 
 /// Cancellations that a node has confirmed to users.
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -11,6 +11,8 @@
 //! | `rental/<name>` | the leader | [`RentalRecord`]: a rental, before it is requested |
 //! | `stats` | the leader | [`StatsRecord`]: learnt averages |
 //! | `catalogue` | the leader | the machine types last seen |
+//! | `partition/<n>` | the leader | [`PartitionRecord`]: which machines form it, and who is to hold it |
+//! | `partition/<n>/claim` | its holder, under a lease | [`PartitionClaim`]; its stamp is the fencing token |
 //!
 //! An earlier version wrote `cancel/<id>` for a cancellation and `done/<id>/<n>` ([`DoneRecord`])
 //! for completed tasks. Both are still read, and removed with their job.
@@ -39,6 +41,41 @@
 /// Key of the machine types.
 pub const CATALOGUE: &str = "catalogue";
 
+/// Prefix of partitions and their claims.
+pub const PARTITION: &str = "partition/";
+/// What follows a partition's key in that of its claim.
+pub const CLAIM: &str = "/claim";
+
+/// The key of a partition.
+pub fn partition_key(id: u64) -> String {
+    format!("{PARTITION}{id}")
+}
+
+/// The key of a partition's claim.
+pub fn claim_key(id: u64) -> String {
+    format!("{PARTITION}{id}{CLAIM}")
+}
+
+/// A key under [`PARTITION`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PartitionKey {
+    /// The record of the partition with this number.
+    Record(u64),
+    /// The claim on the partition with this number.
+    Claim(u64),
+}
+
+impl PartitionKey {
+    /// Reads a key; `None` if it is of neither kind.
+    pub fn parse(key: &str) -> Option<PartitionKey> {
+        let rest = key.strip_prefix(PARTITION)?;
+        match rest.strip_suffix(CLAIM) {
+            Some(id) => Some(PartitionKey::Claim(id.parse().ok()?)),
+            None => Some(PartitionKey::Record(rest.parse().ok()?)),
+        }
+    }
+}
+
 /// The key of a job that is not over.
 pub fn job_key(id: &str) -> String {
     format!("{JOB}{id}")
@@ -82,6 +119,41 @@
     pub member: String,
     /// Distinguishes this process from an earlier one of the same member.
     pub incarnation: u64,
+    /// Whether it understands partitions. Under a leader that does not, nobody may hold one.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub partitions: bool,
+}
+
+fn is_false(flag: &bool) -> bool {
+    !flag
+}
+
+/// A partition: machines of one zone that one member looks after.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartitionRecord {
+    /// The zone of its machines.
+    pub zone: String,
+    /// Its machines are those whose slot is not below this one ...
+    pub first_slot: u16,
+    /// ... and below this one. Neither ever changes as long as the partition exists.
+    pub end_slot: u16,
+    /// The member that is to hold it.
+    pub holder: String,
+    /// Time of day of its assignment to this member, in microseconds.
+    pub assigned_us: u64,
+    /// Why it was assigned to it, for operators.
+    pub reason: String,
+}
+
+/// A member's claim on a partition. The stamp of this record is the fencing token of its machines.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartitionClaim {
+    /// Who holds the partition.
+    pub member: String,
+    /// Distinguishes this process from an earlier one of the same member.
+    pub incarnation: u64,
+    /// Time of day of the claim, in microseconds.
+    pub claimed_us: u64,
 }
 
 /// An accepted job.
