--- a/crates/core/src/leadership/contact.rs
+++ b/crates/core/src/leadership/contact.rs
@@ -173,22 +173,30 @@
     /// and remember from before we lost ours that nobody else got a grant. So this is an outage, in
     /// which leases do not run out and nobody can be elected.
     fn settle_doubt(&mut self) {
-        // A holder stays in doubt until the state service answers: its claim may have passed on.
         let (woke, lost) = (self.context.woke(), self.context.last_contact.unwrap_or(0));
-        let Some(lead) = self.lead.as_mut().filter(|l| l.doubtful) else {
-            return;
-        };
-        let peers = &self.election.peers;
-        let outage = (0..self.context.settings.siblings.len()).all(|p| {
-            peers.get(&p).is_some_and(|v| {
-                v.asked >= woke
-                    && v.without_contact
-                    && v.remembers_from.is_some_and(|at| at <= lost)
-                    && v.grant <= lead.token
-            })
+        let siblings = 0..self.context.settings.siblings.len();
+        let peers: Option<Vec<&PeerView>> = siblings.map(|p| self.election.peers.get(&p)).collect();
+        let Some(peers) = peers else { return };
+        let outage = peers.iter().all(|peer| {
+            peer.asked >= woke
+                && peer.without_contact
+                && peer.remembers_from.is_some_and(|at| at <= lost)
         });
-        if outage {
-            lead.grant_holds();
+        if !outage {
+            return;
+        }
+        if let Some(lead) = &mut self.lead {
+            if peers.iter().all(|peer| peer.grant <= lead.token) {
+                lead.grant_holds();
+            }
+        }
+        // Nobody had contact at a moment at which a claim of ours could have run out.
+        let unbroken = lost + self.context.tuning.leader_lease_us / 2;
+        let later = |peer: &&PeerView| peer.contact.is_some_and(|at| at > unbroken);
+        if !peers.iter().any(later) {
+            for holder in self.partitions.holders.values_mut() {
+                holder.grant_holds();
+            }
         }
     }
 
--- a/crates/core/src/partitions/orders.rs
+++ b/crates/core/src/partitions/orders.rs
@@ -26,7 +26,7 @@
 /// How long a message to a holder may take.
 const ORDERS_TIMEOUT: Micros = 900 * MILLI;
 /// Between two rounds of the planner.
-const PLAN_INTERVAL: Micros = SECOND;
+const PLAN_INTERVAL: Micros = 300 * MILLI;
 /// After a change of leader nothing is moved for so long.
 const SETTLING: Micros = 20 * SECOND;
 /// A stop is repeated after this time.
@@ -110,6 +110,11 @@
         found.next().map(|(id, _)| *id)
     }
 
+    /// Whether the partition's holder is in touch and knows its tasks.
+    pub(crate) fn is_synced(&self, id: PartitionId) -> bool {
+        self.by_id.get(&id).is_some_and(|remote| remote.synced)
+    }
+
     /// The record of a partition, as it is to be written.
     pub(crate) fn record(&self, id: PartitionId) -> Option<&PartitionRecord> {
         self.by_id.get(&id).map(|remote| &remote.record)
@@ -664,7 +669,7 @@
     fn note_checkins(&mut self, checkins: u64, now: Micros) {
         let (before, at) = self.checkins;
         let span = now.saturating_sub(at);
-        if span < PLAN_INTERVAL && at > 0 {
+        if span < SECOND && at > 0 {
             return;
         }
         if at > 0 {
--- a/crates/core/src/workers/silence.rs
+++ b/crates/core/src/workers/silence.rs
@@ -180,9 +180,18 @@
             let ago = self.jobs.get(a.job).and_then(|j| j.cancelled_for(now));
             ago.is_some_and(|ago| ago > cancel * 5 / 8)
         });
-        let forsaken = unheard > 3 * silent_release(context.settings.lease);
-        if (overdue || forsaken) && self.fleet.release(name, now) {
-            info!("{name}: released, its holder has not proven it free");
+        // A holder that hears no other machine cannot tell whose silence it is; the leader can.
+        let silence = silent_release(context.settings.lease);
+        let hearing = now.saturating_sub(self.heard_at) < 3 * report;
+        let patience = match m.partition.is_some_and(|id| self.remote.is_synced(id)) && hearing {
+            true => silence,
+            false => 3 * silence,
+        };
+        if (overdue || unheard > patience) && self.fleet.release(name, now) {
+            info!(
+                "{name}: released, its holder has not heard it for {} s",
+                unheard / SECOND
+            );
         }
         let useless = |a: &Assignment| self.jobs.get(a.job).is_none_or(|j| j.is_done(a.task));
         let useless = m.assignments.iter().filter(|a| useless(a));
--- a/crates/partition/src/plan.rs
+++ b/crates/partition/src/plan.rs
@@ -66,8 +66,10 @@
     pub wall: Micros,
 }
 
-/// How long a partition may be without a claim before it is assigned to another member.
+/// How long a partition may be without a claim before it is assigned to another member: a new one, and
+/// one whose holder gave it back or whose claim has ended.
 const UNCLAIMED_FOR: Micros = 3_000_000;
+const GIVEN_BACK_FOR: Micros = 600_000;
 /// The least load worth a move.
 const LEAST_LOAD: Load = 1.0;
 
@@ -76,6 +78,8 @@
 pub struct Planner {
     /// Since when a partition has had no claim.
     unclaimed: BTreeMap<PartitionId, Micros>,
+    /// Partitions that had a claim since they were last assigned.
+    claimed: BTreeSet<PartitionId>,
     /// When a partition was last moved for the sake of balance.
     moved_at: Option<Micros>,
 }
@@ -102,8 +106,17 @@
         };
         self.unclaimed.retain(|id, _| unclaimed(id));
         for (id, partition) in plan.map.iter() {
-            if partition.phase() == Phase::Unclaimed {
-                self.unclaimed.entry(id).or_insert(plan.now);
+            match partition.phase() {
+                Phase::Unclaimed => {
+                    self.unclaimed.entry(id).or_insert(plan.now);
+                }
+                Phase::Held => {
+                    self.claimed.insert(id);
+                }
+                // Its next holder has yet to claim it.
+                Phase::Moving => {
+                    self.claimed.remove(&id);
+                }
             }
         }
     }
@@ -116,7 +129,11 @@
             let holder = &partition.record.holder;
             let healthy = plan.members.iter().any(|m| m.name == *holder);
             let since = self.unclaimed.get(&id).copied();
-            let overdue = since.is_some_and(|at| plan.now.saturating_sub(at) >= UNCLAIMED_FOR);
+            let patience = match self.claimed.contains(&id) {
+                true => GIVEN_BACK_FOR,
+                false => UNCLAIMED_FOR,
+            };
+            let overdue = since.is_some_and(|at| plan.now.saturating_sub(at) >= patience);
             // One whose holder cannot be reached but has a claim keeps it: the claim ends by itself.
             if !overdue {
                 continue;
@@ -127,6 +144,7 @@
             };
             *counts.entry(to.to_string()).or_insert(0.0) += 1.0;
             self.unclaimed.insert(id, plan.now);
+            self.claimed.remove(&id);
             let reason = match healthy {
                 true => "its holder did not claim it",
                 false => "its holder is gone",
