--- a/crates/partition/src/map.rs
+++ b/crates/partition/src/map.rs
@@ -182,9 +182,7 @@
         self.unreadable.remove(key);
         match PartitionKey::parse(key) {
             Some(PartitionKey::Record(id)) => {
-                if self.partitions.get(&id).is_some_and(|p| p.stamp <= stamp) {
-                    self.partitions.remove(&id);
-                }
+                self.partitions.retain(|known, p| *known != id || p.stamp > stamp);
             }
             Some(PartitionKey::Claim(id)) => {
                 self.early_claims.remove(&id);
--- a/crates/partition/src/plan.rs
+++ b/crates/partition/src/plan.rs
@@ -70,6 +70,8 @@
 /// one whose holder gave it back or whose claim has ended.
 const UNCLAIMED_FOR: Micros = 3_000_000;
 const GIVEN_BACK_FOR: Micros = 600_000;
+/// A move for the sake of balance leaves this part of the gap between two members at most.
+const MOST_GAP_LEFT: f64 = 0.5;
 /// The least load worth a move.
 const LEAST_LOAD: Load = 1.0;
 
@@ -183,14 +185,13 @@
         if *most_load <= mean * (1.0 + settings.hysteresis) || gap < LEAST_LOAD {
             return None;
         }
-        // The one that halves the gap best; one as large as the gap would only turn it round.
+        // The one that narrows the gap best. One that is about as large as the gap would only turn it
+        // round, and come back with the next move.
+        let gap_after = |id: PartitionId| (gap - 2.0 * load_of(id)).abs();
         let theirs = plan.map.iter().filter(|(_, p)| p.record.holder == **most);
         let (id, partition) = theirs
-            .filter(|(id, _)| (LEAST_LOAD / 2.0..gap).contains(&load_of(*id)))
-            .min_by(|a, b| {
-                let rest = |id: PartitionId| (gap / 2.0 - load_of(id)).abs();
-                rest(a.0).total_cmp(&rest(b.0))
-            })?;
+            .filter(|(id, _)| gap_after(*id) <= gap * MOST_GAP_LEFT)
+            .min_by(|a, b| gap_after(a.0).total_cmp(&gap_after(b.0)))?;
         self.moved_at = Some(plan.now);
         let reason = format!("balance: {most_load:.0} against {least_load:.0} check-ins a second");
         Some(reassigned(id, &partition.record, least, &reason, plan.wall))
--- /dev/null
+++ b/crates/partition/tests/map.rs
@@ -0,0 +1,116 @@
+//! The map: who looks after a machine, and what becomes of records that come late or cannot be read.
+
+use grebewood_partition::slots::{ranges, slot_of, SLOTS};
+use grebewood_partition::{PartitionMap, Phase};
+use grebewood_wire::http::to_value;
+use grebewood_wire::records::{claim_key, partition_key, PartitionClaim, PartitionRecord};
+use grebewood_wire::Value;
+
+fn record(range: (u16, u16), holder: &str) -> Value {
+    to_value(&PartitionRecord {
+        zone: "a".into(),
+        first_slot: range.0,
+        end_slot: range.1,
+        holder: holder.into(),
+        assigned_us: 1,
+        reason: "test".into(),
+    })
+}
+
+fn claim(member: &str) -> Value {
+    to_value(&PartitionClaim {
+        member: member.into(),
+        incarnation: 1,
+        claimed_us: 1,
+    })
+}
+
+fn two_partitions() -> PartitionMap {
+    let mut map = PartitionMap::default();
+    for (id, range) in (1..).zip(ranges(2)) {
+        let written = map.put(&partition_key(id), &record(range, "x"), id);
+        assert_eq!(written, Ok(()));
+    }
+    map
+}
+
+#[test]
+fn every_machine_is_in_exactly_one_partition() {
+    for partitions in [1, 2, 3, 7, 64, 256] {
+        let ranges = ranges(partitions);
+        assert_eq!(ranges.len(), usize::from(partitions));
+        assert_eq!((ranges[0].0, ranges[ranges.len() - 1].1), (0, SLOTS));
+        assert!(ranges.windows(2).all(|pair| pair[0].1 == pair[1].0));
+    }
+    let map = two_partitions();
+    let names: Vec<String> = (0..4_000).map(|n| format!("n-{n:06}")).collect();
+    let first = names.iter().filter(|name| map.find("a", name) == Some(1));
+    let first = first.count();
+    assert!((1_800..2_200).contains(&first), "{first} of 4000");
+    assert!(names.iter().all(|name| map.find("a", name).is_some()));
+    assert!(names.iter().all(|name| map.find("b", name).is_none()));
+}
+
+/// All versions that hold partitions side by side agree on it.
+#[test]
+fn the_slot_of_a_machine_never_changes() {
+    let slots: Vec<u16> = ["n-000000", "n-000001", "n-000231"]
+        .into_iter()
+        .map(slot_of)
+        .collect();
+    assert_eq!(slots, [252, 79, 122]);
+}
+
+#[test]
+fn both_records_tell_the_phase() {
+    let mut map = two_partitions();
+    let phase = |map: &PartitionMap| map.get(1).expect("partition 1").phase();
+    assert_eq!(phase(&map), Phase::Unclaimed);
+    map.put(&claim_key(1), &claim("x"), 10).expect("a claim");
+    assert_eq!(phase(&map), Phase::Held);
+    map.put(&partition_key(1), &record((0, 128), "y"), 11)
+        .expect("a record");
+    assert_eq!(phase(&map), Phase::Moving);
+    map.delete(&claim_key(1), 12);
+    assert_eq!(phase(&map), Phase::Unclaimed);
+    map.put(&claim_key(1), &claim("y"), 13).expect("a claim");
+    assert_eq!(phase(&map), Phase::Held);
+}
+
+#[test]
+fn what_arrives_late_changes_nothing() {
+    let mut map = two_partitions();
+    map.put(&claim_key(1), &claim("y"), 13).expect("a claim");
+    // An older claim and its deletion.
+    map.put(&claim_key(1), &claim("x"), 10).expect("a claim");
+    map.delete(&claim_key(1), 12);
+    let held_by = map.get(1).and_then(|p| p.claim.clone());
+    assert_eq!(held_by.map(|c| (c.member, c.token)), Some(("y".into(), 13)));
+    // A claim may be listed before its partition is.
+    let mut map = PartitionMap::default();
+    map.put(&claim_key(5), &claim("y"), 13).expect("a claim");
+    map.put(&partition_key(5), &record((0, 256), "y"), 9)
+        .expect("a record");
+    assert_eq!(map.get(5).map(|p| p.phase()), Some(Phase::Held));
+}
+
+#[test]
+fn an_unreadable_record_is_named_and_leaves_what_was_known() {
+    let mut map = two_partitions();
+    let key = partition_key(1);
+    for bad in [
+        Value::Null,
+        Value::from(7),
+        record((128, 128), "x"),
+        record((0, SLOTS + 1), "x"),
+        record((0, 128), ""),
+    ] {
+        assert!(map.put(&key, &bad, 20).is_err(), "{bad:?}");
+        assert_eq!(map.unreadable().collect::<Vec<_>>(), [key.as_str()]);
+        assert_eq!(map.get(1).map(|p| p.record.end_slot), Some(128));
+    }
+    assert!(map.put("partition/x", &record((0, 1), "x"), 21).is_err());
+    map.put(&key, &record((0, 128), "z"), 22).expect("a record");
+    assert_eq!(map.unreadable().collect::<Vec<_>>(), ["partition/x"]);
+    assert_eq!(map.keys().len(), 3);
+}
--- /dev/null
+++ b/crates/partition/tests/plan.rs
@@ -0,0 +1,203 @@
+//! The planner: first assignments, lost holders, and balance.
+
+use grebewood_partition::slots::ranges;
+use grebewood_partition::{
+    Assignment, Load, Member, PartitionId, PartitionMap, Plan, Planner, PlannerSettings,
+};
+use grebewood_wire::http::to_value;
+use grebewood_wire::records::{claim_key, partition_key, PartitionClaim};
+use std::collections::{BTreeMap, BTreeSet};
+
+const SECOND: u64 = 1_000_000;
+
+/// A cluster that carries out what the planner wants.
+struct Cluster {
+    map: PartitionMap,
+    members: BTreeSet<Member>,
+    loads: BTreeMap<PartitionId, Load>,
+    planner: Planner,
+    settings: PlannerSettings,
+    at_rest: bool,
+    may_create: bool,
+    now: u64,
+    stamp: u64,
+}
+
+impl Cluster {
+    fn new(members: &[&str]) -> Cluster {
+        let member = |name: &&str| Member {
+            name: name.to_string(),
+            zone: "a".into(),
+        };
+        Cluster {
+            map: PartitionMap::default(),
+            members: members.iter().map(member).collect(),
+            loads: BTreeMap::new(),
+            planner: Planner::default(),
+            settings: PlannerSettings {
+                partitions_per_zone: 6,
+                move_interval: 30 * SECOND,
+                hysteresis: 0.25,
+                paused: false,
+            },
+            at_rest: true,
+            may_create: true,
+            now: 0,
+            stamp: 0,
+        }
+    }
+
+    /// One round of the planner; what it wants is written, and claimed by those who live.
+    fn round(&mut self) -> Vec<Assignment> {
+        self.now += SECOND;
+        let zones = BTreeSet::from(["a".to_string()]);
+        let plan = Plan {
+            map: &self.map,
+            zones: &zones,
+            members: &self.members,
+            loads: &self.loads,
+            may_create: self.may_create,
+            at_rest: self.at_rest,
+            now: self.now,
+            wall: self.now,
+        };
+        let assignments = self.planner.round(&self.settings, &plan);
+        for Assignment { id, record } in &assignments {
+            self.stamp += 1;
+            let value = to_value(record);
+            let written = self.map.put(&partition_key(*id), &value, self.stamp);
+            assert_eq!(written, Ok(()));
+            if self.members.iter().any(|m| m.name == record.holder) {
+                self.claim(*id, &record.holder);
+            }
+        }
+        assignments
+    }
+
+    fn claim(&mut self, id: PartitionId, member: &str) {
+        self.stamp += 1;
+        let claim = PartitionClaim {
+            member: member.into(),
+            incarnation: 1,
+            claimed_us: self.now,
+        };
+        let written = self.map.put(&claim_key(id), &to_value(&claim), self.stamp);
+        assert_eq!(written, Ok(()));
+    }
+
+    fn loses(&mut self, member: &str) {
+        self.members.retain(|m| m.name != member);
+        let theirs = self.map.iter().filter(|(_, p)| p.record.holder == member);
+        let theirs: Vec<PartitionId> = theirs.map(|(id, _)| id).collect();
+        self.stamp += 1;
+        for id in theirs {
+            self.map.delete(&claim_key(id), self.stamp);
+        }
+    }
+
+    fn held_by(&self, member: &str) -> usize {
+        let theirs = self.map.iter().filter(|(_, p)| p.record.holder == member);
+        theirs.count()
+    }
+}
+
+#[test]
+fn partitions_are_made_once_and_shared_evenly() {
+    let mut cluster = Cluster::new(&["x", "y", "z"]);
+    cluster.may_create = false;
+    assert!(cluster.round().is_empty());
+    cluster.may_create = true;
+    assert_eq!(cluster.round().len(), 6);
+    let made: Vec<(u16, u16)> = cluster
+        .map
+        .iter()
+        .map(|(_, p)| (p.record.first_slot, p.record.end_slot))
+        .collect();
+    assert_eq!(made, ranges(6));
+    for member in ["x", "y", "z"] {
+        assert_eq!(cluster.held_by(member), 2, "{member}");
+    }
+    assert!(cluster.round().is_empty());
+}
+
+#[test]
+fn partitions_of_a_lost_member_go_to_the_others() {
+    let mut cluster = Cluster::new(&["x", "y", "z"]);
+    cluster.round();
+    cluster.round();
+    cluster.loses("y");
+    let mut rounds = 0;
+    while cluster.held_by("y") > 0 {
+        cluster.round();
+        rounds += 1;
+        assert!(rounds <= 4, "still with a member that is gone");
+    }
+    assert_eq!((cluster.held_by("x"), cluster.held_by("z")), (3, 3));
+}
+
+#[test]
+fn a_holder_that_cannot_be_reached_keeps_what_it_has_claimed() {
+    let mut cluster = Cluster::new(&["x", "y"]);
+    cluster.round();
+    cluster.members.retain(|m| m.name != "y");
+    for _ in 0..60 {
+        assert!(cluster.round().is_empty());
+    }
+}
+
+#[test]
+fn balance_moves_one_partition_at_a_time_and_comes_to_rest() {
+    let mut cluster = Cluster::new(&["x", "y"]);
+    cluster.round();
+    let theirs: Vec<PartitionId> = cluster
+        .map
+        .iter()
+        .filter(|(_, p)| p.record.holder == "x")
+        .map(|(id, _)| id)
+        .collect();
+    cluster.loads = theirs.iter().map(|id| (*id, 40.0)).collect();
+    let mut moves = Vec::new();
+    for _ in 0..600 {
+        let assignments = cluster.round();
+        assert!(assignments.len() <= 1);
+        if !assignments.is_empty() {
+            moves.push(cluster.now);
+        }
+    }
+    // 120 against 0, then 80 against 40: a further move would only turn that round.
+    assert_eq!(moves.len(), 1, "{moves:?}");
+    cluster.loads.insert(theirs[0], 10.0);
+    cluster.loads.insert(theirs[1], 10.0);
+    cluster.loads.insert(theirs[2], 200.0);
+    for _ in 0..600 {
+        cluster.round();
+    }
+    let settled = cluster.map.clone();
+    for _ in 0..100 {
+        assert!(cluster.round().is_empty());
+    }
+    assert_eq!(settled.iter().count(), 6);
+}
+
+#[test]
+fn nothing_moves_while_it_must_not() {
+    let lopsided = |change: &dyn Fn(&mut Cluster)| {
+        let mut cluster = Cluster::new(&["x", "y"]);
+        cluster.round();
+        let all: Vec<(PartitionId, String)> = cluster
+            .map
+            .iter()
+            .map(|(id, p)| (id, p.record.holder.clone()))
+            .collect();
+        for (id, holder) in all {
+            let load = if holder == "x" { 40.0 } else { 0.0 };
+            cluster.loads.insert(id, load);
+        }
+        change(&mut cluster);
+        (0..100).map(|_| cluster.round().len()).sum::<usize>()
+    };
+    assert!(lopsided(&|_| {}) > 0);
+    assert_eq!(lopsided(&|c| c.settings.paused = true), 0);
+    assert_eq!(lopsided(&|c| c.at_rest = false), 0);
+    assert_eq!(lopsided(&|c| c.loads.clear()), 0);
+}
--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -33,6 +33,10 @@
 //!                                           live: pending or running
 //! at 5  starts JOB N                        its tasks came onto machines N times so far
 //! at 5  leaders N                           so many nodes lead
+//! at 5  move 1                              partition 1, 2, ... is assigned to the next member that is up
+//!                                           (every 2 from 5 to 50 move p: one after the other)
+//! at 5  moves 100                           so many at least were moved so far
+//! at 5  downgrade NODE [for=4]              it ends and comes back with the version before
 //! at 5  partitions N held|moving|unclaimed  so many partitions are on record, all of them so
 //! at 5  machines N                          so many machines are rented
 //! at 5  request METHOD PATH STATUS [BODY]   a raw request at every node; BODY: hex digits
--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -198,6 +198,17 @@
         self.items.insert(key.to_string(), item);
     }
 
+    /// Writes a key as an operator would, whatever its stamp.
+    pub fn write(&mut self, key: &str, value: Value) {
+        self.epoch += 1;
+        let item = Item {
+            value,
+            stamp: self.epoch,
+            lease: None,
+        };
+        self.change(key, Some(item));
+    }
+
     /// Takes tokens for requests and changes; no is answered 429.
     fn may(&mut self, now: Micros, requests: f64, changes: f64) -> bool {
         let Some(limits) = self.limits else {
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -207,6 +207,8 @@
     met: u64,
     /// A rule that was broken within a step.
     broken: Option<String>,
+    /// Partitions that the script has moved.
+    moves: u64,
     /// What the leader costs, if that is measured.
     pub measures: Option<Measures>,
 }
@@ -293,6 +295,7 @@
             expected: 0,
             met: 0,
             broken: None,
+            moves: 0,
             measures: None,
         };
         let mut nodes = 3;
--- a/crates/testkit/src/world/controllers.rs
+++ b/crates/testkit/src/world/controllers.rs
@@ -147,9 +147,13 @@
             Target::Peer(p) => {
                 let to = (0..self.slots.len()).filter(|o| *o != n).nth(p);
                 let Some(to) = to else { return };
-                // Orders go only to members that have said that they understand them.
+                // Orders go to members that hold a partition. One that has come back with the version
+                // before meanwhile refuses them, as it does every message that it does not know.
                 let orders = matches!(from_peer(&call.body), Ok(PeerRequest::Partition(_)));
-                let checked = match orders && !self.old.contains(&to) {
+                if orders && self.old.contains(&to) {
+                    return self.reply(caller, "peers", 2 * MS, 400, Vec::new());
+                }
+                let checked = match orders {
                     true => Ok(()),
                     false => production::check_peer_request(&call.body),
                 };
--- a/crates/testkit/src/world/script.rs
+++ b/crates/testkit/src/world/script.rs
@@ -3,6 +3,8 @@
 use super::*;
 use grebewood_partition::overview::Overview;
 use grebewood_partition::PartitionMap;
+use grebewood_wire::http::{from_value, to_value};
+use grebewood_wire::records::PartitionRecord;
 
 impl World {
     pub(super) fn node_named(&self, word: &str) -> Result<usize, String> {
@@ -23,6 +25,36 @@
             .ok_or(format!("{name}: no such machine"))
     }
 
+    /// Assigns a partition to the next member that is up, as an operator would: one after the other, by
+    /// the number at the end of the word.
+    fn move_partition(&mut self, word: &str) -> Result<(), String> {
+        let number: usize = word
+            .trim_start_matches(char::is_alphabetic)
+            .parse()
+            .map_err(|_| format!("{word}: no number"))?;
+        let records = self
+            .state
+            .under("partition/")
+            .filter_map(|(key, value, _)| {
+                let record = from_value::<PartitionRecord>(value).ok()?;
+                Some((key.to_string(), record))
+            });
+        let records: Vec<(String, PartitionRecord)> = records.collect();
+        let up = self.up_nodes();
+        if records.is_empty() || up.is_empty() {
+            return Ok(());
+        }
+        let (key, mut record) = records[number % records.len()].clone();
+        let now = up
+            .iter()
+            .position(|n| record.holder == format!("perch-{n}"));
+        let next = up[(now.unwrap_or(0) + 1) % up.len()];
+        record.holder = format!("perch-{next}");
+        self.state.write(&key, to_value(&record));
+        self.moves += 1;
+        Ok(())
+    }
+
     /// The phases of all partitions on record.
     fn partition_phases(&self) -> Vec<&'static str> {
         let mut map = PartitionMap::default();
@@ -98,6 +130,12 @@
                     return Err(format!("{got} nodes lead"));
                 }
             }
+            "moves" => {
+                let least: u64 = line.word(1)?.parse().map_err(|_| "no number".to_string())?;
+                if self.moves < least {
+                    return Err(format!("only {} moves", self.moves));
+                }
+            }
             "partitions" => {
                 let wanted: usize = line.word(1)?.parse().map_err(|_| "no number".to_string())?;
                 let phase = line.word(2)?;
@@ -107,6 +145,16 @@
                     return Err(format!("partitions are {}", got.join(", ")));
                 }
             }
+            "move" => self.move_partition(line.word(1)?)?,
+            "downgrade" => {
+                let n = self.node_named(line.word(1)?)?;
+                self.old.insert(n);
+                let crash = Line {
+                    words: vec!["crash".into(), n.to_string()],
+                    ..line
+                };
+                return self.script(crash);
+            }
             "machines" => {
                 let got = self.machines.values().filter(|m| !m.gone).count();
                 if got.to_string() != line.word(1)? {
--- a/crates/testkit/src/world/troubles.rs
+++ b/crates/testkit/src/world/troubles.rs
@@ -376,15 +376,22 @@
     /// than that of the copy. The result is whether this leader had no report of the machine under its
     /// grant that was as new.
     pub(super) fn note_report(&mut self, n: usize, body: &[u8], asker: &Asker) -> bool {
-        let node = self.slots[n].node.as_ref();
-        let Some(lead) = node.and_then(|n| n.lead.as_ref()) else {
+        let Ok(report) = from_cbor::<Report>(body) else {
             return false;
         };
-        // Before it has read its records, and in doubt of its grant, it takes no report in.
-        let (token, takes) = (lead.token, lead.loaded_at > 0 && !lead.doubtful());
-        let Ok(report) = from_cbor::<Report>(body) else {
+        // The grant under which this node would answer: that of the machine's partition, or the leader's.
+        let grant = self.slots[n].node.as_ref().and_then(|node| {
+            let partitions = &node.partitions;
+            let partition = partitions.map.find(&report.zone, &report.machine);
+            let holder = partition.and_then(|id| partitions.holders.get(&id));
+            holder.or(node.lead.as_ref())
+        });
+        let Some(lead) = grant else {
             return false;
         };
+        // Before it has read its records, and in doubt of its grant, it takes no report in.
+        let read = lead.loaded() && lead.loaded_at > 0;
+        let (token, takes) = (lead.token, read && !lead.doubtful());
         let t = &mut self.troubles;
         if matches!(asker, Asker::Copy { .. }) && report.token < token {
             t.copied += 1;
