--- a/crates/grebewood/src/main.rs
+++ b/crates/grebewood/src/main.rs
@@ -1,6 +1,7 @@
 //! `grebewood`: a cluster scheduler. This program is one controller.
 
 mod config;
+mod partitions;
 
 use clap::{Parser, Subcommand};
 use grebewood_core::Node;
@@ -29,13 +30,25 @@
         #[arg(long, value_name = "FILE")]
         tuning: Option<PathBuf>,
     },
+    /// Shows who holds which machines, from the state service alone.
+    Partitions {
+        /// The settings of any controller (TOML).
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+        /// As JSON.
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
     start_log();
-    let Command::Serve { config, tuning } = cli.command;
-    match serve(&config, tuning.as_deref()) {
+    let outcome = match cli.command {
+        Command::Serve { config, tuning } => serve(&config, tuning.as_deref()),
+        Command::Partitions { config, json } => show_partitions(&config, json),
+    };
+    match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             error!("{e}");
@@ -56,6 +69,17 @@
     grebewood_net::run(node, endpoints).map_err(|e| format!("cannot serve: {e}"))
 }
 
+fn show_partitions(config: &std::path::Path, json: bool) -> Result<(), String> {
+    let (_, endpoints) = config::load(config)?;
+    let overview = partitions::read(endpoints.state).map_err(|e| e.to_string())?;
+    let text = match json {
+        true => serde_json::to_string_pretty(&overview).map_err(|e| e.to_string())? + "\n",
+        false => overview.to_text(),
+    };
+    let written = std::io::stdout().write_all(text.as_bytes());
+    written.map_err(|e| format!("cannot write: {e}"))
+}
+
 /// Logs go to standard error, in the amount given by `LOG_LEVEL`.
 fn start_log() {
     let level = match std::env::var("LOG_LEVEL").as_deref() {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,6 +4,7 @@
 //! effects. It bounds connections and buffers, gives every wait a deadline, and sleeps until
 //! something happens or is due.
 
+pub mod blocking;
 mod client;
 mod http;
 mod server;
--- a/crates/partition/src/map.rs
+++ b/crates/partition/src/map.rs
@@ -182,7 +182,8 @@
         self.unreadable.remove(key);
         match PartitionKey::parse(key) {
             Some(PartitionKey::Record(id)) => {
-                self.partitions.retain(|known, p| *known != id || p.stamp > stamp);
+                self.partitions
+                    .retain(|known, p| *known != id || p.stamp > stamp);
             }
             Some(PartitionKey::Claim(id)) => {
                 self.early_claims.remove(&id);
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -6,6 +6,7 @@
 //! ([`machines`]) and users, joined by links that can be cut, held back or made to lose messages.
 //! The rules of the protocol are checked at every step; a broken one ends the scenario.
 
+pub mod loopback;
 pub mod machines;
 pub mod measure;
 pub mod production;
--- a/crates/testkit/src/machines.rs
+++ b/crates/testkit/src/machines.rs
@@ -1,6 +1,6 @@
 //! Stand-ins for the cloud's machines and their workers.
 
-use grebewood_wire::http::{Command, ExitCause, Report, TaskReport};
+use grebewood_wire::http::{Command, ExitCause, MachineType, Report, TaskReport};
 use std::collections::BTreeMap;
 
 type Micros = u64;
@@ -68,6 +68,38 @@
 }
 
 impl Machine {
+    /// A machine that has yet to come up.
+    pub fn new(name: &str, machine_type: &MachineType, zone: &str) -> Machine {
+        Machine {
+            name: name.into(),
+            machine_type: machine_type.name.clone(),
+            zone: zone.into(),
+            spot: false,
+            cpus: machine_type.cpus,
+            requested: 0,
+            up_at: None,
+            up: false,
+            gone: false,
+            hangs_until: 0,
+            deaf_until: 0,
+            cut_until: 0,
+            mute_until: 0,
+            faulty: false,
+            recall_at: None,
+            session: 1,
+            sequence: 0,
+            token: 0,
+            lease_from: 0,
+            tasks: Vec::new(),
+            node: 0,
+            in_flight: None,
+            next_report: 0,
+            last_report: 0,
+            told_token: 0,
+            token_told: None,
+        }
+    }
+
     pub fn report(&mut self, now: Micros) -> Report {
         self.sequence += 1;
         Report {
--- a/crates/testkit/src/world/setup.rs
+++ b/crates/testkit/src/world/setup.rs
@@ -217,39 +217,25 @@
     pub(super) fn rent(&mut self, machine_type: &str, zone: &str, spot: bool) -> String {
         let name = format!("n-{:06}", self.next_machine);
         self.next_machine += 1;
-        let cpus = self
-            .types
-            .iter()
-            .find(|t| t.name == machine_type)
-            .map_or(0.0, |t| t.cpus);
-        let up_at = (!self.boots_never).then_some(self.now + self.boot);
+        let unknown = MachineType {
+            name: machine_type.into(),
+            cpus: 0.0,
+            gpus: 0.0,
+            memory_gb: 0.0,
+            local_gb: None,
+            fetch_gb_per_s: None,
+            price: 0.0,
+            spot_price: None,
+            boot_s: 0.0,
+            zones: Vec::new(),
+        };
+        let kind = self.types.iter().find(|t| t.name == machine_type);
         let m = Machine {
-            name: name.clone(),
-            machine_type: machine_type.into(),
-            zone: zone.into(),
             spot,
-            cpus,
             requested: self.now,
-            up_at,
-            up: false,
-            gone: false,
-            hangs_until: 0,
-            deaf_until: 0,
-            cut_until: 0,
-            mute_until: 0,
-            faulty: false,
-            recall_at: None,
-            session: 1,
-            sequence: 0,
-            token: 0,
-            lease_from: 0,
-            tasks: Vec::new(),
+            up_at: (!self.boots_never).then_some(self.now + self.boot),
             node: self.next_machine as usize % 3,
-            in_flight: None,
-            next_report: 0,
-            last_report: 0,
-            told_token: 0,
-            token_told: None,
+            ..Machine::new(&name, kind.unwrap_or(&unknown), zone)
         };
         self.machines.insert(name.clone(), m);
         name
