--- a/crates/core/src/leadership/contact/tests.rs
+++ b/crates/core/src/leadership/contact/tests.rs
@@ -54,6 +54,18 @@
     assert_eq!(check_in(&mut node, late, 4).0, 200);
 }
 
+/// A machine may be in a partition, whose holder's token is lower: an answer would take it away.
+#[test]
+fn a_leader_that_knows_no_partitions_yet_answers_no_machine() {
+    let mut node = unread_leader(20 * SECOND);
+    node.context.cancellations.read_as_of(20 * SECOND);
+    assert_eq!(check_in(&mut node, 20 * SECOND, 1).0, 200);
+    node.context.tuning.partitions_per_zone = 2;
+    let lead = node.lead.as_mut().expect("a leader");
+    lead.start_loading(&mut node.context);
+    assert_eq!(check_in(&mut node, 20 * SECOND, 2).0, 503);
+}
+
 #[test]
 fn before_reading_state_it_stops_what_it_knows_to_be_cancelled() {
     let mut node = unread_leader(20 * SECOND);
--- a/crates/core/src/partitions/claims.rs
+++ b/crates/core/src/partitions/claims.rs
@@ -42,8 +42,10 @@
 
 /// How long a watch of the map stays open.
 const WATCH: Micros = 10 * SECOND;
-/// Between two attempts to read the map, or to claim a partition.
+/// Between two attempts to read the map.
 const AGAIN: Micros = 300 * MILLI;
+/// Between an attempt to claim a partition that failed and the next one.
+const CLAIM_AGAIN: Micros = 50 * MILLI;
 /// How long a node that no worker reached claims nothing.
 const ABSTAIN: Micros = 10 * SECOND;
 
@@ -284,7 +286,7 @@
 
     fn claim_failed(&mut self, id: PartitionId, lease: Option<u64>) {
         self.partitions.claiming.remove(&id);
-        self.partitions.claim_at = self.context.now.steady + AGAIN;
+        self.partitions.claim_at = self.context.now.steady + CLAIM_AGAIN;
         if let Some(lease) = lease {
             self.context.end_lease(lease);
         }
--- a/crates/core/src/partitions/holder.rs
+++ b/crates/core/src/partitions/holder.rs
@@ -411,3 +411,6 @@
         tasks: tasks.collect(),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/core/src/partitions/holder/tests.rs
@@ -0,0 +1,184 @@
+use super::*;
+use crate::jobs::Job;
+use crate::leadership::Grant;
+use crate::test_support::{first_report, unread_leader, WALL};
+use crate::workers::PendingCheckin;
+use grebewood_wire::http::{Priority, Submission, Verb};
+use grebewood_wire::records::JobRecord;
+
+const MACHINE: &str = "n-000001";
+const TERM: u64 = 7;
+const CLAIM: u64 = 9;
+
+fn job() -> Job {
+    let spec = Submission {
+        id: "req-1".into(),
+        class: "work".into(),
+        team: "t".into(),
+        shape: "batch".into(),
+        priority: Priority::Normal,
+        tasks: 2,
+        cpus: 1.0,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        machine_types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        image: "img".into(),
+        image_gb: 1.0,
+        expected_s: 30.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    };
+    let record = JobRecord {
+        spec,
+        accepted_us: WALL,
+    };
+    Job::new(record, 20 * SECOND, WALL)
+}
+
+/// A node and the holder of a partition with one machine, which has learnt that nothing is on it.
+fn holder() -> (Node, Lead) {
+    let mut node = unread_leader(20 * SECOND);
+    let now = node.context.now.steady;
+    let grant = Grant {
+        token: CLAIM,
+        lease: 1,
+        lease_at: now,
+    };
+    let mut holder = Lead::new(&node.context, Role::Holder(1), grant);
+    holder.jobs.insert(job());
+    let mut machine = Machine::new(&first_report(), None, now);
+    (machine.cpus, machine.session, machine.hears) = (8.0, 1, true);
+    holder.machines.insert(MACHINE.into(), machine);
+    let sync = PartitionOrders {
+        sync: Some(Vec::new()),
+        ..orders(1)
+    };
+    let report = holder.carry_out_orders(&mut node.context, sync);
+    assert!(report.is_some_and(|report| report.synced));
+    (node, holder)
+}
+
+fn orders(sequence: u64) -> PartitionOrders {
+    PartitionOrders {
+        from: "perch-0".into(),
+        term: TERM,
+        sequence,
+        partition: 1,
+        claim: CLAIM,
+        ..PartitionOrders::default()
+    }
+}
+
+fn launch(sequence: u64) -> PartitionOrders {
+    let task = PlacedTask {
+        machine: MACHINE.into(),
+        session: 1,
+        job: "req-1".into(),
+        task: 0,
+        attempt: 70,
+        expected_us: SECOND,
+    };
+    PartitionOrders {
+        launches: vec![task],
+        ..orders(sequence)
+    }
+}
+
+fn verbs(holder: &mut Lead, context: &Context) -> Vec<Verb> {
+    let pending = PendingCheckin {
+        request: 1,
+        round: 0,
+        machine: MACHINE.into(),
+        session: 1,
+        sequence: 2,
+        until: 0,
+    };
+    let commands = holder.commands(context, &pending);
+    commands.into_iter().map(|command| command.verb).collect()
+}
+
+fn acknowledge(sequence: u64) -> PartitionOrders {
+    PartitionOrders {
+        acknowledged: vec![TaskAttempt {
+            attempt: 70,
+            task: 0,
+        }],
+        ..orders(sequence)
+    }
+}
+
+#[test]
+fn a_worker_keeps_a_result_until_the_leader_has_it_on_record() {
+    let (mut node, mut holder) = holder();
+    let report = holder.carry_out_orders(&mut node.context, launch(2));
+    assert_eq!(report.map(|report| report.accepted.len()), Some(1));
+    assert_eq!(verbs(&mut holder, &node.context), [Verb::Launch]);
+    holder.exited(&mut node.context, MACHINE, 0, &ExitCause::Done, "req-1/0");
+    assert_eq!(verbs(&mut holder, &node.context), []);
+    // The outcome is told until it is acknowledged.
+    for sequence in 3..5 {
+        let report = holder.carry_out_orders(&mut node.context, orders(sequence));
+        let outcomes = report.expect("a report").outcomes;
+        assert_eq!(outcomes[0].end, TaskEnd::Exited(ExitCause::Done));
+    }
+    let report = holder.carry_out_orders(&mut node.context, acknowledge(5));
+    assert_eq!(report.expect("a report").outcomes, []);
+    assert_eq!(verbs(&mut holder, &node.context), [Verb::Acknowledge]);
+}
+
+/// A copy of orders that arrives late would launch again what has ended and was forgotten.
+#[test]
+fn orders_that_arrive_late_launch_nothing() {
+    let (mut node, mut holder) = holder();
+    holder.carry_out_orders(&mut node.context, launch(2));
+    verbs(&mut holder, &node.context);
+    holder.exited(&mut node.context, MACHINE, 0, &ExitCause::Done, "req-1/0");
+    holder.carry_out_orders(&mut node.context, acknowledge(3));
+    let late = holder.carry_out_orders(&mut node.context, launch(2));
+    assert_eq!(late, None);
+    let verbs = verbs(&mut holder, &node.context);
+    assert!(!verbs.contains(&Verb::Launch), "{verbs:?}");
+}
+
+#[test]
+fn orders_of_an_earlier_term_or_for_another_claim_are_dropped() {
+    let (mut node, mut holder) = holder();
+    let earlier = PartitionOrders {
+        term: TERM - 1,
+        ..launch(9)
+    };
+    let another = PartitionOrders {
+        claim: CLAIM - 1,
+        ..launch(9)
+    };
+    for orders in [earlier, another] {
+        assert_eq!(holder.carry_out_orders(&mut node.context, orders), None);
+    }
+    assert_eq!(verbs(&mut holder, &node.context), []);
+    // Nor does a member that the state service does not name as the leader give orders.
+    node.partitions.holders.insert(1, Box::new(holder));
+    let stranger = PartitionOrders {
+        from: "perch-9".into(),
+        ..launch(9)
+    };
+    assert_eq!(node.on_orders(stranger), None);
+}
+
+/// What a later leader does not speak of was never launched, or has ended by its books.
+#[test]
+fn a_new_leader_has_what_it_does_not_know_dropped() {
+    let (mut node, mut holder) = holder();
+    holder.carry_out_orders(&mut node.context, launch(2));
+    let sync = PartitionOrders {
+        term: TERM + 1,
+        sync: Some(Vec::new()),
+        ..orders(1)
+    };
+    holder.carry_out_orders(&mut node.context, sync);
+    assert_eq!(verbs(&mut holder, &node.context), []);
+}
--- a/crates/core/src/workers/checkins.rs
+++ b/crates/core/src/workers/checkins.rs
@@ -90,7 +90,7 @@
 
     /// The commands for the answer to a check-in. Launches go only here: such an answer is never
     /// carried out late. Each launched task is on record, each acknowledged outcome too.
-    pub(super) fn commands(&mut self, context: &Context, pending: &PendingCheckin) -> Vec<Command> {
+    pub(crate) fn commands(&mut self, context: &Context, pending: &PendingCheckin) -> Vec<Command> {
         let now = context.now.steady;
         let mut commands = Vec::new();
         let Some(m) = self.machines.get(&pending.machine) else {
