Count workers' connections only where connections are crowded

Idle connections of users fill up whatever room there is, so with many users workers' connections were closed after each answer.

--- a/crates/core/src/workers/pending_checkins.rs
+++ b/crates/core/src/workers/pending_checkins.rs
@@ -9,7 +9,7 @@
 const MOST_PARKED: Micros = 3 * SECOND;
 
 /// Check-ins that wait for work may hold one of so many sockets.
-const PARKED_SOCKETS: usize = 4;
+const PARKED_SOCKETS: usize = 2;
 
 /// A check-in that is not answered yet.
 #[derive(Clone, Debug)]
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -123,6 +123,8 @@
     deadlines: BTreeSet<(Micros, usize)>,
     /// Server connections, and how many there may be.
     served: usize,
+    /// Those of them that have carried a check-in.
+    workers: usize,
     requests: BTreeMap<u64, usize>,
     next_request: u64,
     flights: BTreeMap<u64, Flight>,
@@ -159,6 +161,7 @@
         conns: Slab::new(),
         deadlines: BTreeSet::new(),
         served: 0,
+        workers: 0,
         requests: BTreeMap::new(),
         next_request: 0,
         flights: BTreeMap::new(),
@@ -281,8 +284,11 @@
         self.deadlines.remove(&(conn.deadline, key));
         let _ = self.poll.registry().deregister(&mut conn.stream);
         match conn.kind {
-            Kind::Server { request, .. } => {
+            Kind::Server {
+                request, worker, ..
+            } => {
                 self.served -= 1;
+                self.workers -= usize::from(worker);
                 if let Some(id) = request {
                     self.requests.remove(&id);
                     self.inputs.push_back(Input::Gone { id });
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 
-/// Connections are crowded when so many tenths of those that others may have are open.
-const CROWDED_TENTHS: usize = 9;
+/// Workers are crowded when so many tenths of the connections that others may have are theirs.
+const CROWDED_TENTHS: usize = 7;
 
 /// Who opened a connection to us.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,10 +55,11 @@
         }
     }
 
-    /// Whether connections are so many that those of workers do not stay open between two reports.
-    /// With more machines than sockets the rest was refused for good, and their leases ran out.
+    /// Whether workers are so many that their connections do not stay open between two reports. With
+    /// more machines than sockets the rest was refused for good, and their leases ran out. Idle
+    /// connections of users do not count: there are always as many as there is room for.
     fn is_crowded(&self) -> bool {
-        self.served * 10 >= self.serve_limit() * CROWDED_TENTHS
+        self.workers * 10 >= self.serve_limit() * CROWDED_TENTHS
     }
 
     /// Closes an idle connection to make room: of a user if there is one, else of a worker, which
@@ -134,7 +135,10 @@
                 let id = self.next_request;
                 *request = Some(id);
                 *close = r.close;
-                *worker |= r.path == "/checkin";
+                if r.path == "/checkin" && !*worker {
+                    *worker = true;
+                    self.workers += 1;
+                }
                 let input = Input::Request {
                     id,
                     interface: *interface,
