--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -16,6 +16,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 mod decider;
+mod returns;
 
 /// A call to the cloud.
 #[derive(Clone, Debug)]
@@ -118,7 +119,7 @@
         }
     }
 
-    pub fn next_wake(&self, _cx: &Context) -> Micros {
+    pub fn next_wake(&self) -> Micros {
         let mut at = self.decide_at.min(self.types_at);
         if !self.list_busy {
             at = at.min(self.list_at);
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -405,7 +405,7 @@
         (self.token << 20) + self.attempts
     }
 
-    pub fn next_wake(&self, context: &Context) -> Micros {
+    pub fn next_wake(&self) -> Micros {
         let mut at = self.extend_at;
         if self.doubtful {
             return at;
@@ -434,7 +434,7 @@
         at.min(self.parked.next_until())
             .min(self.placement.next_at)
             .min(self.next_machine_check)
-            .min(self.fleet.next_wake(context))
+            .min(self.fleet.next_wake())
             .min(self.progress_at)
     }
 
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -328,7 +328,7 @@
             at = at.min(self.catalogue_at);
         }
         for lead in self.lead.iter().chain(self.partitions.holders.values()) {
-            at = at.min(lead.next_wake(&self.context));
+            at = at.min(lead.next_wake());
         }
         if self.context.understands_partitions() {
             at = at.min(self.partitions.next_wake());
