--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -6,6 +6,9 @@
 pub const HEAD_LIMIT: usize = 8 * 1024;
 /// Longest request body.
 pub const REQUEST_LIMIT: usize = 64 * 1024;
+/// Largest body of a request of another controller: the leader tells a partition's next holder all tasks
+/// that may be on its machines at once.
+pub const PEER_REQUEST_LIMIT: usize = 4 * 1024 * 1024;
 /// Longest response body that is read: a watch's answer has no limit of its own.
 pub const RESPONSE_LIMIT: usize = 4 * 1024 * 1024;
 const MOST_HEADERS: usize = 48;
@@ -76,8 +79,8 @@
     Ok(f)
 }
 
-/// Reads a request from the start of `buf`.
-pub fn parse_request(buf: &[u8]) -> Parsed<Request> {
+/// Reads a request from the start of `buf`, whose body may have so many bytes.
+pub fn parse_request(buf: &[u8], limit: usize) -> Parsed<Request> {
     let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
     let mut request = httparse::Request::new(&mut headers);
     let head = match request.parse(buf) {
@@ -92,7 +95,7 @@
         Err((status, why)) => return Parsed::Bad(status, why),
     };
     let length = framing.length.unwrap_or(0);
-    if length > REQUEST_LIMIT {
+    if length > limit {
         return Parsed::Bad(413, "body too large");
     }
     if buf.len() < head + length {
--- a/crates/net/src/http/tests.rs
+++ b/crates/net/src/http/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 fn bad(bytes: &[u8]) -> u16 {
-    match parse_request(bytes) {
+    match parse_request(bytes, REQUEST_LIMIT) {
         Parsed::Bad(status, _) => status,
         other => panic!("{other:?}"),
     }
@@ -11,9 +11,13 @@
 fn requests_are_read_piece_by_piece() {
     let whole = b"POST /checkin?x=1 HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET";
     for cut in 0..whole.len() - 3 {
-        assert_eq!(parse_request(&whole[..cut]), Parsed::Partial, "cut {cut}");
+        assert_eq!(
+            parse_request(&whole[..cut], REQUEST_LIMIT),
+            Parsed::Partial,
+            "cut {cut}"
+        );
     }
-    match parse_request(whole) {
+    match parse_request(whole, REQUEST_LIMIT) {
         Parsed::Whole(r, n) => {
             assert_eq!(
                 (r.path.as_str(), r.body.as_slice()),
@@ -63,3 +67,16 @@
     assert_eq!(parse_response(bytes, false), Parsed::Partial);
     assert!(matches!(parse_response(bytes, true), Parsed::Bad(..)));
 }
+
+/// All tasks of a partition with some hundred machines take more than a user may send; a holder that was
+/// never told of them once launched nothing for good.
+#[test]
+fn a_controller_may_send_more_than_a_user() {
+    let head = format!(
+        "POST /peer HTTP/1.1\r\nContent-Length: {}\r\n\r\n",
+        REQUEST_LIMIT + 1
+    );
+    assert_eq!(bad(head.as_bytes()), 413);
+    let peer = parse_request(head.as_bytes(), PEER_REQUEST_LIMIT);
+    assert_eq!(peer, Parsed::Partial);
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -332,7 +332,9 @@
                 }
                 Ok(n) => {
                     let limit = match conn.kind {
-                        Kind::Server { .. } => http::HEAD_LIMIT + http::REQUEST_LIMIT,
+                        Kind::Server { interface, .. } => {
+                            http::HEAD_LIMIT + server::request_limit(interface)
+                        }
                         Kind::Client { .. } => http::HEAD_LIMIT + http::RESPONSE_LIMIT,
                     };
                     conn.input.extend_from_slice(&self.scratch[..n]);
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -12,6 +12,14 @@
     Worker,
 }
 
+/// Largest body of a request at this interface.
+pub(super) fn request_limit(interface: Interface) -> usize {
+    match interface {
+        Interface::Front => http::REQUEST_LIMIT,
+        Interface::Peer => http::PEER_REQUEST_LIMIT,
+    }
+}
+
 impl Loop {
     /// Most connections that others may have to us: the rest is kept for the state service, the
     /// cloud, workers' commands and peers.
@@ -117,7 +125,7 @@
             // Requests are never pipelined.
             return self.refuse(key, 400, "pipelined request");
         }
-        match parse_request(&conn.input) {
+        match parse_request(&conn.input, request_limit(*interface)) {
             Parsed::Partial => {
                 // The time for a request runs from its first byte on.
                 if conn.deadline > now + REQUEST_TIME {
