--- a/crates/wire/tests/names.rs
+++ b/crates/wire/tests/names.rs
@@ -2,7 +2,7 @@
 //! called in Rust; and a word that is not known spoils no message.
 
 use grebewood_wire::http::*;
-use grebewood_wire::records::{FinishedJobRecord, MachineAssignments};
+use grebewood_wire::records::{FinishedJobRecord, LeaderRecord, MachineAssignments};
 use grebewood_wire::{from_cbor, to_cbor, Value};
 
 /// The keys of a map, in the order in which they are written.
@@ -182,3 +182,15 @@
     };
     assert_eq!(keys(&assignments), "m tenure zone t");
 }
+
+/// The version before reads the leader's record; without partitions it is what it was.
+#[test]
+fn a_leader_without_partitions_writes_the_record_as_before() {
+    let record = |partitions| LeaderRecord {
+        member: "perch-0".into(),
+        incarnation: 1,
+        partitions,
+    };
+    assert_eq!(keys(&record(false)), "member incarnation");
+    assert_eq!(keys(&record(true)), "member incarnation partitions");
+}
