--- a/crates/core/src/partitions/claims.rs
+++ b/crates/core/src/partitions/claims.rs
@@ -74,11 +74,12 @@
     /// Reads the map, claims what is assigned to this node, gives back what is not, and lets the
     /// holders and the leader do their part.
     pub(crate) fn run_partitions(&mut self, watch: &mut dyn Stopwatch) {
-        if self.context.understands_partitions() {
-            self.read_partition_map();
-            self.leave_partitions();
-            self.claim_partitions();
+        if !self.context.understands_partitions() {
+            return;
         }
+        self.read_partition_map();
+        self.leave_partitions();
+        self.claim_partitions();
         self.retract_cancellations();
         for holder in self.partitions.holders.values_mut() {
             holder.run(&mut self.context, watch);
--- a/crates/core/src/partitions/orders.rs
+++ b/crates/core/src/partitions/orders.rs
@@ -131,7 +131,10 @@
 impl Node {
     /// The leader's part: keeps up with claims, plans, and sends orders to the holders that are due.
     pub(crate) fn run_leader_partitions(&mut self) {
-        let members = self.partition_members();
+        let now = self.context.now.steady;
+        let due = self.lead.as_ref().is_some_and(|l| now >= l.remote.plan_at);
+        // Members are looked at only for the planner: this runs with every input.
+        let members = due.then(|| self.partition_members());
         let Some(lead) = self.lead.as_mut() else {
             return;
         };
@@ -142,7 +145,9 @@
         if let Some(why) = lead.folded() {
             return self.step_down(why, true);
         }
-        lead.plan_partitions(&mut self.context, &self.partitions.map, &members);
+        if let Some(members) = members {
+            lead.plan_partitions(&mut self.context, &self.partitions.map, &members);
+        }
         for orders in lead.due_orders(&self.context) {
             self.send_orders(orders);
         }
@@ -253,8 +258,7 @@
     /// Lets the planner make, reassign and move partitions.
     fn plan_partitions(&mut self, context: &mut Context, map: &PartitionMap, view: &MemberView) {
         let now = context.now.steady;
-        let enabled = context.understands_partitions();
-        if !enabled || self.remote.folding.is_some() || now < self.remote.plan_at {
+        if self.remote.folding.is_some() {
             return;
         }
         self.remote.plan_at = now + PLAN_INTERVAL;
