After a read-over: one place for what partitions wrote twice, no dead code

Need: read again, the change for partitions had some things twice. Change: which partition a machine is in is one function for the map and the leader; an outcome is noted in one place; what a holder has taken over is marked by one loop; claims are compared before they are copied, which ran with every input; a method that nothing called and a wrapper that only forwarded are gone; the job of two unit tests stands in test_support. No behaviour changes, assertions are untouched.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -325,12 +325,8 @@
         }
     }
 
-    /// Sends releases that are due, in the name of a partition's holder.
-    pub(crate) fn run_releases(&mut self, context: &mut Context) {
-        self.send_releases(context);
-    }
-
-    fn send_releases(&mut self, context: &mut Context) {
+    /// Sends releases that are due.
+    pub(crate) fn send_releases(&mut self, context: &mut Context) {
         let now = context.now.steady;
         let f = &mut self.fleet;
         if f.releasing.is_empty() || f.release_busy || now < f.release_at {
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -360,7 +360,7 @@
     /// Whether state has been read, and the holder of a partition knows all that may be on its
     /// machines, so that it can act.
     pub fn loaded(&self) -> bool {
-        self.loading.is_none() && (self.role == Role::Leader || self.holding.knows_tasks())
+        self.loading.is_none() && (!self.is_holder() || self.holding.knows_tasks())
     }
 
     /// Whether the live jobs have been read.
@@ -419,7 +419,7 @@
         for w in self.watches.values().filter(|w| !w.open) {
             at = at.min(w.retry_at);
         }
-        if self.role != Role::Leader {
+        if self.is_holder() {
             return at.min(self.holder_wake());
         }
         at = at.min(self.remote.next_wake());
@@ -463,7 +463,7 @@
             return self.run_loading(context);
         }
         self.run_watches(context);
-        if self.role != Role::Leader {
+        if self.is_holder() {
             return self.run_holder(context);
         }
         self.run_machines(context);
--- a/crates/core/src/leadership/contact/tests.rs
+++ b/crates/core/src/leadership/contact/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
-use crate::test_support::{clocks, first_report, pass, unread_leader, WALL};
+use crate::test_support::{clocks, first_report, job_record, pass, unread_leader, WALL};
 use crate::{Effect, Input, Interface, NoStopwatch};
-use grebewood_wire::http::{CheckinAnswer, Command, Priority, Report, Submission, TaskReport};
+use grebewood_wire::http::{CheckinAnswer, Command, Report, TaskReport};
 
 /// What a worker with a task of `req-1` is answered.
 fn check_in(node: &mut Node, now: Micros, sequence: u64) -> (u16, Vec<Command>) {
@@ -116,32 +116,7 @@
 /// A leader that was told by a peer that `req-1` is cancelled, which it is about to end.
 fn told_leader() -> Node {
     let mut node = unread_leader(20 * SECOND);
-    let spec = Submission {
-        id: "req-1".into(),
-        class: "work".into(),
-        team: "t".into(),
-        shape: "batch".into(),
-        priority: Priority::Normal,
-        tasks: 1,
-        cpus: 1.0,
-        gpus: 0.0,
-        memory_gb: 1.0,
-        image: "img".into(),
-        image_gb: 1.0,
-        machine_types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
-        expected_s: 10.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-    };
-    let record = JobRecord {
-        spec,
-        accepted_us: WALL,
-    };
+    let record = job_record(1);
     let lead = node.lead.as_mut().expect("a leader");
     lead.add_job(&node.context, "job/req-1", &to_value(&record), 5);
     let cancel = CancelRecord { cancelled_us: WALL };
--- a/crates/core/src/partitions/holder.rs
+++ b/crates/core/src/partitions/holder.rs
@@ -239,18 +239,20 @@
         }
     }
 
-    /// Notes how an attempt ended, for the leader.
+    /// Notes how an attempt ended, for the leader. What is known of it already stays.
     pub(crate) fn note_end(&mut self, machine: &str, a: &Assignment, end: TaskEnd) {
-        self.holding
-            .outcomes
-            .entry(a.id())
-            .or_insert_with(|| TaskOutcome {
-                machine: machine.to_string(),
-                job: a.job_id.clone(),
-                task: a.task,
-                attempt: a.attempt,
-                end,
-            });
+        self.note_outcome(TaskOutcome {
+            machine: machine.to_string(),
+            job: a.job_id.clone(),
+            task: a.task,
+            attempt: a.attempt,
+            end,
+        });
+    }
+
+    fn note_outcome(&mut self, outcome: TaskOutcome) {
+        let outcomes = &mut self.holding.outcomes;
+        outcomes.entry(outcome.id()).or_insert(outcome);
     }
 
     /// A task on a machine of the partition has exited: the leader is told, and the worker keeps the
@@ -288,14 +290,13 @@
     ) {
         let unknown = ExitCause::Unknown(String::new());
         let cause = reported.cause.clone().unwrap_or(unknown);
-        let outcome = TaskOutcome {
+        self.note_outcome(TaskOutcome {
             machine: name.to_string(),
             job: job.to_string(),
             task,
             attempt: reported.attempt,
             end: TaskEnd::Exited(cause),
-        };
-        self.holding.outcomes.entry(outcome.id()).or_insert(outcome);
+        });
     }
 
     /// A holder's timers.
@@ -304,7 +305,7 @@
             return;
         }
         self.run_machines(context);
-        self.run_releases(context);
+        self.send_releases(context);
         self.run_pending(context);
     }
 
--- a/crates/core/src/partitions/holder/tests.rs
+++ b/crates/core/src/partitions/holder/tests.rs
@@ -1,45 +1,14 @@
 use super::*;
 use crate::jobs::Job;
 use crate::leadership::Grant;
-use crate::test_support::{first_report, unread_leader, WALL};
+use crate::test_support::{first_report, job_record, unread_leader, WALL};
 use crate::workers::PendingCheckin;
-use grebewood_wire::http::{Priority, Submission, Verb};
-use grebewood_wire::records::JobRecord;
+use grebewood_wire::http::Verb;
 
 const MACHINE: &str = "n-000001";
 const TERM: u64 = 7;
 const CLAIM: u64 = 9;
 
-fn job() -> Job {
-    let spec = Submission {
-        id: "req-1".into(),
-        class: "work".into(),
-        team: "t".into(),
-        shape: "batch".into(),
-        priority: Priority::Normal,
-        tasks: 2,
-        cpus: 1.0,
-        gpus: 0.0,
-        memory_gb: 1.0,
-        machine_types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
-        image: "img".into(),
-        image_gb: 1.0,
-        expected_s: 30.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-    };
-    let record = JobRecord {
-        spec,
-        accepted_us: WALL,
-    };
-    Job::new(record, 20 * SECOND, WALL)
-}
-
 /// A node and the holder of a partition with one machine, which has learnt that nothing is on it.
 fn holder() -> (Node, Lead) {
     let mut node = unread_leader(20 * SECOND);
@@ -50,7 +19,7 @@
         lease_at: now,
     };
     let mut holder = Lead::new(&node.context, Role::Holder(1), grant);
-    holder.jobs.insert(job());
+    holder.jobs.insert(Job::new(job_record(2), now, WALL));
     let mut machine = Machine::new(&first_report(), None, now);
     (machine.cpus, machine.session, machine.hears) = (8.0, 1, true);
     holder.machines.insert(MACHINE.into(), machine);
--- a/crates/core/src/partitions/orders.rs
+++ b/crates/core/src/partitions/orders.rs
@@ -5,10 +5,11 @@
 use crate::leadership::{Lead, MemberView};
 use crate::ledger::RecordId;
 use crate::node::{Context, LeadCall, Node};
-use crate::workers::{ExitedAttempt, Machine};
+use crate::workers::{Assignment, ExitedAttempt, Machine};
 use crate::{Micros, Outcome, Target, MILLI, SECOND};
+use grebewood_partition::map::partition_of;
 use grebewood_partition::{
-    Assignment as PartitionAssignment, Load, PartitionId, PartitionMap, Phase, Plan, Planner,
+    Assignment as PartitionAssignment, Load, PartitionId, PartitionMap, Plan, Planner,
     PlannerSettings,
 };
 use grebewood_wire as wire;
@@ -102,12 +103,8 @@
 
     /// The partition of a machine.
     pub(crate) fn partition_of(&self, zone: &str, machine: &str) -> Option<PartitionId> {
-        let slot = grebewood_partition::slots::slot_of(machine);
-        let mut found = self.by_id.iter().filter(|(_, remote)| {
-            let record = &remote.record;
-            record.zone == zone && (record.first_slot..record.end_slot).contains(&slot)
-        });
-        found.next().map(|(id, _)| *id)
+        let records = self.by_id.iter().map(|(id, remote)| (*id, &remote.record));
+        partition_of(records, zone, machine)
     }
 
     /// Whether the partition's holder is in touch and knows its tasks.
@@ -230,17 +227,16 @@
                 continue;
             };
             let claim = partition.claim.as_ref();
-            let claim = claim.map(|c| (c.member.clone(), c.token));
-            let token = |claim: &Option<(String, u64)>| claim.as_ref().map_or(0, |c| c.1);
             // The map may be older than what this leader read itself.
+            let known = remote.claim.as_ref().map(|(_, token)| *token);
             let news = match claim {
-                Some(_) => token(&claim) > token(&remote.claim),
-                None => remote.claim.is_some(),
+                Some(claim) => known.is_none_or(|known| claim.token > known),
+                None => known.is_some(),
             };
             if !news {
                 continue;
             }
-            remote.claim_changed(claim);
+            remote.claim_changed(claim.map(|c| (c.member.clone(), c.token)));
             let machines = self.machines.values_mut();
             for machine in machines.filter(|m| m.partition == Some(*id)) {
                 // Until its holder says so nothing can be launched there.
@@ -411,6 +407,7 @@
                 if a.may_exist() && !a.delivered && !a.recovered() && !full {
                     orders.launches.push(placed_task(name, a));
                 }
+                let id = a.id();
                 let Some(stop) = a.stop.as_mut().filter(|_| a.launched.is_some()) else {
                     continue;
                 };
@@ -419,10 +416,7 @@
                     stop.sent = Some(now);
                     orders.stops.push(TaskStop {
                         machine: name.clone(),
-                        id: TaskAttempt {
-                            attempt: a.attempt,
-                            task: a.task,
-                        },
+                        id,
                         grace_us: stop.grace,
                     });
                 }
@@ -494,9 +488,12 @@
         remote.seen = report.version;
         remote.note_checkins(report.checkins, now);
         if newly_synced {
-            self.note_all_delivered(id);
+            self.note_delivered(id, Assignment::may_exist);
+        }
+        if !report.accepted.is_empty() {
+            let accepted: BTreeSet<TaskAttempt> = report.accepted.iter().copied().collect();
+            self.note_delivered(id, |a| accepted.contains(&a.id()));
         }
-        self.note_delivered(id, &report.accepted);
         for machine in &report.gone {
             if self.machines.contains_key(machine) {
                 self.released(context, machine);
@@ -510,29 +507,12 @@
         self.placement.want(now);
     }
 
-    fn note_all_delivered(&mut self, id: PartitionId) {
-        for machine in self.machines.values_mut() {
-            if machine.partition != Some(id) {
-                continue;
-            }
-            for a in machine.assignments.iter_mut().filter(|a| a.may_exist()) {
-                a.delivered = true;
-            }
-        }
-    }
-
-    fn note_delivered(&mut self, id: PartitionId, accepted: &[TaskAttempt]) {
-        if accepted.is_empty() {
-            return;
-        }
-        let accepted: BTreeSet<TaskAttempt> = accepted.iter().copied().collect();
-        for machine in self.machines.values_mut() {
-            if machine.partition != Some(id) {
-                continue;
-            }
-            for a in &mut machine.assignments {
-                a.delivered |= accepted.contains(&a.id());
-            }
+    /// The holder has taken these assignments over.
+    fn note_delivered(&mut self, id: PartitionId, taken_over: impl Fn(&Assignment) -> bool) {
+        let machines = self.machines.values_mut();
+        let theirs = machines.filter(|m| m.partition == Some(id));
+        for a in theirs.flat_map(|m| &mut m.assignments) {
+            a.delivered |= taken_over(a);
         }
     }
 
@@ -661,11 +641,6 @@
             }
         }
     }
-
-    /// Phases of all partitions, for tests.
-    pub fn partition_phases(&self, map: &PartitionMap) -> Vec<Phase> {
-        map.iter().map(|(_, partition)| partition.phase()).collect()
-    }
 }
 
 impl Remote {
@@ -685,7 +660,7 @@
     }
 }
 
-fn placed_task(machine: &str, a: &crate::workers::Assignment) -> PlacedTask {
+fn placed_task(machine: &str, a: &Assignment) -> PlacedTask {
     PlacedTask {
         machine: machine.to_string(),
         session: a.session,
--- a/crates/core/src/test_support.rs
+++ b/crates/core/src/test_support.rs
@@ -2,7 +2,8 @@
 
 use crate::settings::Sibling;
 use crate::{Input, Micros, NoStopwatch, Node, Now, Settings, Tuning, MILLI, SECOND};
-use grebewood_wire::http::Report;
+use grebewood_wire::http::{Priority, Report, Submission};
+use grebewood_wire::records::JobRecord;
 
 pub const WALL: u64 = 1_700_000_000 * SECOND;
 
@@ -21,6 +22,36 @@
     node
 }
 
+/// The record of `req-1`, an array of so many tasks that was just accepted.
+pub fn job_record(tasks: u64) -> JobRecord {
+    let spec = Submission {
+        id: "req-1".into(),
+        class: "work".into(),
+        team: "t".into(),
+        shape: "batch".into(),
+        priority: Priority::Normal,
+        tasks,
+        cpus: 1.0,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        machine_types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        image: "img".into(),
+        image_gb: 1.0,
+        expected_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    };
+    JobRecord {
+        spec,
+        accepted_us: WALL,
+    }
+}
+
 /// The first report of a machine without tasks, which has seen no token yet.
 pub fn first_report() -> Report {
     Report {
--- a/crates/partition/src/map.rs
+++ b/crates/partition/src/map.rs
@@ -54,12 +54,19 @@
             Some(_) => Phase::Moving,
         }
     }
+}
 
-    /// Whether the machine is one of its.
-    pub fn contains(&self, zone: &str, machine: &str) -> bool {
-        let slot = slot_of(machine);
-        self.record.zone == zone && (self.record.first_slot..self.record.end_slot).contains(&slot)
-    }
+/// The one of these partitions that a machine is in.
+pub fn partition_of<'a>(
+    partitions: impl IntoIterator<Item = (PartitionId, &'a PartitionRecord)>,
+    zone: &str,
+    machine: &str,
+) -> Option<PartitionId> {
+    let slot = slot_of(machine);
+    let mut found = partitions.into_iter().filter(|(_, record)| {
+        record.zone == zone && (record.first_slot..record.end_slot).contains(&slot)
+    });
+    found.next().map(|(id, _)| id)
 }
 
 /// All partitions.
@@ -92,8 +99,8 @@
 
     /// The partition of a machine; `None` if it belongs to none, so that the leader looks after it.
     pub fn find(&self, zone: &str, machine: &str) -> Option<PartitionId> {
-        let mut found = self.iter().filter(|(_, p)| p.contains(zone, machine));
-        found.next().map(|(id, _)| id)
+        let records = self.iter().map(|(id, partition)| (id, &partition.record));
+        partition_of(records, zone, machine)
     }
 
     /// Keys whose value cannot be read.
