Hold holders and the leader's books of given tasks to their guards by unit tests

Need: the conditions of a holder's write and what becomes of its tasks when the leader changes were shown by scenarios only, where one guard hides behind another.

--- a/crates/core/src/quota/delegations.rs
+++ b/crates/core/src/quota/delegations.rs
@@ -169,3 +169,6 @@
         returned
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/quota/placing.rs
+++ b/crates/core/src/quota/placing.rs
@@ -365,3 +365,6 @@
     }
     ranges
 }
+
+#[cfg(test)]
+mod tests;
