--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -15,7 +15,7 @@
 use crate::standby::Standby;
 use crate::stats::Stats;
 use crate::users::{absent, put};
-use crate::workers::{Assignment, Machine, Parked, PendingCheckin, Seen, Stop};
+use crate::workers::{Assignment, Machine, Parked, PendingCheckin, Stop, TaskOnMachine};
 use crate::{Micros, Outcome, Stopwatch, Target, MILLI, SECOND};
 use grebewood_partition::{PartitionId, PartitionMap};
 use grebewood_quota::TeamAmounts;
@@ -24,7 +24,7 @@
     from_value, to_value, Change, Changes, Entry, EntryList, Event, Lease, LeaseRequest,
     MachineNames, Revision, Txn, TxnFailed, When,
 };
-use grebewood_wire::peer::{PeerAnswer, PeerRequest};
+use grebewood_wire::peer::{PeerAnswer, PeerRequest, PlacedTask};
 use grebewood_wire::records::{
     allotment_key, cancel_key, job_key, partition_key, partition_of_page, CancelRecord,
     DonePageRecord, DoneRecord, FinishedJobRecord, JobKey, JobRecord, LeaderRecord, PageRecord,
--- a/crates/core/src/leadership/loading.rs
+++ b/crates/core/src/leadership/loading.rs
@@ -388,31 +388,31 @@
                     job.spec.clone()
                 });
                 let spec = spec.as_ref();
-                let assignment = Assignment {
-                    job: index.unwrap_or(JobIndex::MAX),
-                    job_id,
+                let task = PlacedTask {
+                    machine: m.machine.clone(),
+                    session: m.session,
+                    job: job_id,
                     task,
                     attempt,
-                    session: m.session,
+                    expected_us: spec.map_or(SECOND, |s| self.stats.expected_stay(s)),
+                };
+                let assignment = Assignment {
                     page: number,
-                    written: 0,
-                    cpus: spec.map_or(0.0, |s| s.cpus),
-                    gpus: spec.map_or(0.0, |s| s.gpus),
-                    memory: spec.map_or(0.0, |s| s.memory_gb),
-                    team: spec.map_or(String::new(), |s| s.team.clone()),
-                    zone: m.zone.clone(),
                     launched: Some((0, 0)),
                     delivered: false,
                     by_holder,
-                    seen: Seen::Never,
-                    decided: context.now.steady,
-                    started: None,
-                    expected: spec.map_or(SECOND, |s| self.stats.expected_stay(s)),
                     stop: unreadable.then_some(Stop {
                         grace: 0,
                         since: context.now.steady,
                         sent: None,
                     }),
+                    ..Assignment::new(TaskOnMachine {
+                        task: &task,
+                        job: index,
+                        spec,
+                        zone: m.zone.clone(),
+                        now: context.now.steady,
+                    })
                 };
                 if kept {
                     self.page_mut(number).add(&m.machine, &assignment);
--- a/crates/core/src/partitions/holder.rs
+++ b/crates/core/src/partitions/holder.rs
@@ -1,10 +1,9 @@
 //! The holder of a partition: carries out the leader's orders on its machines and reports to it.
 
-use crate::jobs::JobIndex;
 use crate::leadership::{Lead, Role};
 use crate::node::{Context, Node};
 use crate::placement::slots;
-use crate::workers::{Assignment, ExitedAttempt, Machine, Seen, Stop};
+use crate::workers::{Assignment, ExitedAttempt, Machine, Seen, Stop, TaskOnMachine};
 use crate::{Micros, Stopwatch, SECOND};
 use grebewood_wire::http::{ExitCause, TaskReport, TaskStatus};
 use grebewood_wire::peer::{
@@ -229,33 +228,15 @@
     }
 
     fn assignment_of(&self, context: &Context, task: &PlacedTask, zone: String) -> Assignment {
-        let index = self.jobs.find(&task.job);
-        let spec = index
-            .and_then(|index| self.jobs.get(index))
-            .map(|j| &j.spec);
-        Assignment {
-            job: index.unwrap_or(JobIndex::MAX),
-            job_id: task.job.clone(),
-            task: task.task,
-            attempt: task.attempt,
-            session: task.session,
-            // Its record is the leader's.
-            page: 0,
-            written: 0,
-            cpus: spec.map_or(0.0, |s| s.cpus),
-            gpus: spec.map_or(0.0, |s| s.gpus),
-            memory: spec.map_or(0.0, |s| s.memory_gb),
-            team: spec.map_or(String::new(), |s| s.team.clone()),
+        let job = self.jobs.find(&task.job);
+        let spec = job.and_then(|index| self.jobs.get(index)).map(|j| &j.spec);
+        Assignment::new(TaskOnMachine {
+            task,
+            job,
+            spec,
             zone,
-            launched: None,
-            delivered: true,
-            by_holder: false,
-            seen: Seen::Never,
-            decided: context.now.steady,
-            started: None,
-            expected: task.expected_us,
-            stop: None,
-        }
+            now: context.now.steady,
+        })
     }
 
     /// Notes how an attempt ended, for the leader. What is known of it already stays.
--- a/crates/core/src/quota/grants.rs
+++ b/crates/core/src/quota/grants.rs
@@ -4,8 +4,8 @@
 use crate::jobs::JobIndex;
 use crate::leadership::Lead;
 use crate::node::Context;
-use crate::workers::{Assignment, Seen};
-use crate::{Micros, MILLI, SECOND};
+use crate::workers::{Assignment, TaskOnMachine};
+use crate::{Micros, MILLI};
 use grebewood_partition::PartitionId;
 use grebewood_quota::AskBack;
 use grebewood_wire::peer::{
@@ -179,29 +179,16 @@
             *job.zones.entry(zone.clone()).or_insert(0) += 1;
             job.spec.clone()
         });
-        let spec = spec.as_ref();
         let assignment = Assignment {
-            job: index.unwrap_or(JobIndex::MAX),
-            job_id: placed.job.clone(),
-            task: placed.task,
-            attempt: placed.attempt,
-            session: placed.session,
-            // Its page is the holder's.
-            page: 0,
-            written: 0,
-            cpus: spec.map_or(0.0, |s| s.cpus),
-            gpus: spec.map_or(0.0, |s| s.gpus),
-            memory: spec.map_or(0.0, |s| s.memory_gb),
-            team: spec.map_or(String::new(), |s| s.team.clone()),
-            zone,
             launched: Some((placed.session, 0)),
-            delivered: true,
             by_holder: true,
-            seen: Seen::Never,
-            decided: context.now.steady,
-            started: None,
-            expected: placed.expected_us.max(SECOND / 10),
-            stop: None,
+            ..Assignment::new(TaskOnMachine {
+                task: placed,
+                job: index,
+                spec: spec.as_ref(),
+                zone,
+                now: context.now.steady,
+            })
         };
         let (team, amount) = (&assignment.team, assignment.amount());
         if delegation.is_some_and(|delegation| !delegation.waits) {
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -13,7 +13,7 @@
     CheckinAnswer, Command, DirectCommands, ExitCause, MachineType, Redirect, Report, Submission,
     TaskReport, TaskStatus, Verb,
 };
-use grebewood_wire::peer::{TaskAttempt, TaskEnd};
+use grebewood_wire::peer::{PlacedTask, TaskAttempt, TaskEnd};
 use grebewood_wire::records::DONE_SPAN;
 use log::{error, info, warn};
 use std::collections::VecDeque;
@@ -27,6 +27,7 @@
 mod stops;
 
 use machine::Blame;
+pub(crate) use machine::TaskOnMachine;
 pub use machine::{Assignment, ExitedAttempt, Machine, PlannedTask, Seen, Stop};
 pub use pending_checkins::{Parked, PendingCheckin};
 
--- a/crates/core/src/workers/machine.rs
+++ b/crates/core/src/workers/machine.rs
@@ -55,7 +55,46 @@
     pub stop: Option<Stop>,
 }
 
+/// What is known of a task when it is put on a machine.
+pub(crate) struct TaskOnMachine<'a> {
+    pub task: &'a PlacedTask,
+    /// The place of its job, if it is known.
+    pub job: Option<JobIndex>,
+    /// Its job's description, if it is known.
+    pub spec: Option<&'a Submission>,
+    pub zone: String,
+    pub now: Micros,
+}
+
 impl Assignment {
+    /// A task that is put on a machine, or known to be there. The rest is what a holder needs of a task that
+    /// the leader has placed: its record is the leader's, and nothing was seen of it.
+    pub(crate) fn new(of: TaskOnMachine) -> Assignment {
+        let TaskOnMachine { task, spec, .. } = of;
+        Assignment {
+            job: of.job.unwrap_or(JobIndex::MAX),
+            job_id: task.job.clone(),
+            task: task.task,
+            attempt: task.attempt,
+            session: task.session,
+            page: 0,
+            written: 0,
+            cpus: spec.map_or(0.0, |s| s.cpus),
+            gpus: spec.map_or(0.0, |s| s.gpus),
+            memory: spec.map_or(0.0, |s| s.memory_gb),
+            team: spec.map_or(String::new(), |s| s.team.clone()),
+            zone: of.zone,
+            launched: None,
+            delivered: true,
+            by_holder: false,
+            seen: Seen::Never,
+            decided: of.now,
+            started: None,
+            expected: task.expected_us,
+            stop: None,
+        }
+    }
+
     /// Whether an earlier leader launched it, as far as known.
     pub fn recovered(&self) -> bool {
         self.launched == Some((0, 0))
--- a/crates/core/src/workers/stops.rs
+++ b/crates/core/src/workers/stops.rs
@@ -30,31 +30,31 @@
             true => 0,
             false => self.page_with_room(),
         };
-        let assignment = Assignment {
-            job: index.unwrap_or(JobIndex::MAX),
-            job_id: job_id.to_string(),
+        let task = PlacedTask {
+            machine: report.machine.clone(),
+            session: report.session,
+            job: job_id.to_string(),
             task,
             attempt: s.attempt,
-            session: report.session,
+            expected_us: SECOND,
+        };
+        let assignment = Assignment {
             page,
-            written: 0,
-            cpus: spec.as_ref().map_or(0.0, |s| s.cpus),
-            gpus: spec.as_ref().map_or(0.0, |s| s.gpus),
-            memory: spec.as_ref().map_or(0.0, |s| s.memory_gb),
-            team: spec.as_ref().map_or(String::new(), |s| s.team.clone()),
-            zone: report.zone.clone(),
             launched: Some((report.session, report.sequence)),
-            delivered: true,
-            by_holder: false,
             seen: Seen::Running,
-            decided: now,
             started: Some(now),
-            expected: SECOND,
             stop: Some(Stop {
                 grace: 0,
                 since: now,
                 sent: None,
             }),
+            ..Assignment::new(TaskOnMachine {
+                task: &task,
+                job: index,
+                spec: spec.as_ref(),
+                zone: report.zone.clone(),
+                now,
+            })
         };
         if !self.is_holder() {
             self.page_mut(page).add(&report.machine, &assignment);
