Let a holder tell at once which of its own tasks are gone when the leader changes

Cause: a new leader reads pages on which tasks stand for some seconds after their end. Their holder took each for a task that may be there and waited for a report of its machine, and until then it counted against its team's ceiling. Change: what carries the holder's own token and is not on its books any more is told as gone; and a share that shrinks while its team lacks room is written at once.

--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -83,6 +83,8 @@
     grant: u64,
 }
 
+/// The number of an attempt carries the token under which it was given, above so many bits of a count.
+const ATTEMPT_BITS: u32 = 20;
 /// By how much the writes of ends go ahead of their turn.
 const END_AHEAD: Micros = 10 * SECOND;
 const PROBE: Micros = 500 * MILLI;
@@ -411,7 +413,12 @@
     /// A number for an attempt. It carries the token, so no leader ever reuses one of another.
     pub fn next_attempt(&mut self) -> u64 {
         self.attempts += 1;
-        (self.token << 20) + self.attempts
+        (self.token << ATTEMPT_BITS) + self.attempts
+    }
+
+    /// Whether the number of the attempt was given under this grant.
+    pub(crate) fn has_numbered(&self, attempt: u64) -> bool {
+        attempt >> ATTEMPT_BITS == self.token
     }
 
     pub fn next_wake(&self) -> Micros {
--- a/crates/core/src/partitions/holder.rs
+++ b/crates/core/src/partitions/holder.rs
@@ -149,8 +149,19 @@
         }
         for task in tasks {
             let known = self.has_attempt(task) || !self.holding.is_settled(Some(task.id()));
-            if !known {
-                self.adopt(context, task);
+            if known {
+                continue;
+            }
+            match self.has_numbered(task.attempt) {
+                // This holder has placed it itself, and its page was not written anew since it was gone.
+                true => self.note_outcome(TaskOutcome {
+                    machine: task.machine.clone(),
+                    job: task.job.clone(),
+                    task: task.task,
+                    attempt: task.attempt,
+                    end: TaskEnd::Gone,
+                }),
+                false => self.adopt(context, task),
             }
         }
         self.holding.synced_term = term;
--- a/crates/core/src/quota/grants.rs
+++ b/crates/core/src/quota/grants.rs
@@ -17,7 +17,7 @@
 
 /// Most tasks that one message gives to a holder.
 const MOST_TASKS: usize = 500;
-/// How long a smaller allotment may wait to be written.
+/// How long a smaller allotment may wait to be written, if no team lacks what is asked back.
 const SHRINK_DELAY: Micros = 500 * MILLI;
 
 impl Lead {
@@ -118,7 +118,11 @@
     pub(crate) fn on_held(&mut self, context: &Context, id: PartitionId, quota: &QuotaReport) {
         let now = context.now.steady;
         self.quota.allotments.on_held(id, &quota.held, now);
-        self.write_allotment(context, id, SHRINK_DELAY);
+        let delay = match self.quota.pressed.is_empty() {
+            true => SHRINK_DELAY,
+            false => 0,
+        };
+        self.write_allotment(context, id, delay);
     }
 
     /// A holder has answered that it places nothing.
