Log the lease of a claim, and of the record that is read back

"became leader" named the token only, and a claim without an answer left no line at all.

Change: "became leader" and "became holder of a partition" name the lease. A claim without an answer, and the record that is then read back, are logged with the lease of the claim and that of the record. The wire's `KeyValue` reads the lease of a key, which the response to a read of a single key names (`tether`), and the test kit's store names it as the protocol says.

--- a/crates/core/src/controller/candidacy.rs
+++ b/crates/core/src/controller/candidacy.rs
@@ -165,6 +165,7 @@
 
     /// Reads the leader record back after a put whose outcome is unknown.
     fn read_leader_claim_back(&mut self, lease: u64) {
+        info!(member = self.context.settings.member.as_str(), lease = lease; "outcome of a claim is unknown; reading the leader record back");
         self.election.request_in_flight = true;
         let step = ElectionStep::ReadBack { lease };
         self.context
@@ -174,6 +175,13 @@
     /// Becomes the leader if the leader record that was read back is this process's own.
     fn on_leader_claim_read_back(&mut self, lease: u64, body: &[u8]) {
         let entry = wire::from_cbor::<KeyValue<LeaderRecord>>(body).ok();
+        if let Some(entry) = &entry {
+            info!(
+                member = entry.value.member.as_str(), token = entry.mod_revision,
+                lease = lease, record_lease:? = entry.lease;
+                "read the leader record back"
+            );
+        }
         let own = entry.filter(|entry| {
             entry.value.member == self.context.settings.member
                 && entry.value.incarnation == self.election.incarnation
@@ -203,7 +211,7 @@
     /// Takes on leadership after the store applied this controller's leader record, whose mod_revision is the
     /// fencing token, and starts to load the records.
     pub(crate) fn become_leader(&mut self, token: u64, lease: u64) {
-        info!(member = self.context.settings.member.as_str(), token = token; "became leader");
+        info!(member = self.context.settings.member.as_str(), token = token, lease = lease; "became leader");
         self.context.token = self.context.token.max(token);
         self.election.observe_token(token);
         self.election.leader = Some(KnownLeader {
--- a/crates/core/src/controller/partition_claims.rs
+++ b/crates/core/src/controller/partition_claims.rs
@@ -193,7 +193,7 @@
             return self.context.end_lease(lease);
         };
         let member = self.context.settings.member.as_str();
-        info!(member = member, partition = id, token = token; "became holder of a partition");
+        info!(member = member, partition = id, token = token, lease = lease; "became holder of a partition");
         self.context.token = self.context.token.max(token);
         let fenced_lease = FencedLease {
             token,
--- a/crates/core/src/scheduler/watches/tests.rs
+++ b/crates/core/src/scheduler/watches/tests.rs
@@ -12,6 +12,7 @@
         key: job_key(&format!("req-{first}")),
         value: Value::Null,
         mod_revision: first,
+        lease: None,
     };
     KeyValueList {
         entries: vec![entry],
--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -319,7 +319,10 @@
 
     fn read(&self, key: &str) -> Reply {
         match self.entries.get(key) {
-            Some(entry) => Reply::Now(200, to_cbor(&EntryBody::new(key, entry))),
+            Some(entry) => {
+                let body = EntryBody::new(key, entry).with_lease(entry.lease);
+                Reply::Now(200, to_cbor(&body))
+            }
             None => Reply::Now(404, revision_body(self.revision)),
         }
     }
--- a/crates/testkit/src/state/bodies.rs
+++ b/crates/testkit/src/state/bodies.rs
@@ -29,7 +29,7 @@
     2 + sum + usize::max(count, 1) - 1
 }
 
-/// An entry in a response.
+/// An entry in a response. The lease is only in the response to a read of a single key.
 #[derive(Serialize)]
 pub(super) struct EntryBody<'a> {
     #[serde(rename = "k")]
@@ -37,6 +37,8 @@
     value: &'a Value,
     #[serde(rename = "stamp")]
     mod_revision: u64,
+    #[serde(rename = "tether", skip_serializing_if = "Option::is_none")]
+    lease: Option<u64>,
 }
 
 /// A change in the response to a watch: the key is in `put` or in `delete`.
@@ -58,8 +60,13 @@
             key,
             value: &entry.value,
             mod_revision: entry.mod_revision,
+            lease: None,
         }
     }
+
+    pub(super) fn with_lease(self, lease: Option<u64>) -> EntryBody<'a> {
+        EntryBody { lease, ..self }
+    }
 }
 
 /// The response to a list.
--- a/crates/wire/src/http/store.rs
+++ b/crates/wire/src/http/store.rs
@@ -16,6 +16,9 @@
     /// Revision of the key's last modification.
     #[serde(rename = "stamp")]
     pub mod_revision: u64,
+    /// Lease that the key is attached to, in the response to a read of a single key.
+    #[serde(rename = "tether", default, skip_serializing_if = "Option::is_none")]
+    pub lease: Option<u64>,
 }
 
 /// Response to a range read: one page of keys.
