Check in all scenarios that no controller answers agents without its record

A lost answer always took the call's timeout, after which the first claim's lease is over; the end of a lease was never late; and no check looked at who answers agents with 200.

Change: the test kit closes connections at once (`closed=yes`), loses several transactions of a controller in a row, carries ends of leases out late (`late lease_end`) and drops a controller's renewals alone (`drop_renewals`). In every scenario a controller may answer agents with 200 only while the store has the record of its fencing token, or for as long as an agent's lease after that, in which it has contact with the store.

Unit tests of the check and of each fault.

--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -85,11 +85,18 @@
 //! at 5  fault_on grant for=40               the key-value store goes down right after the next leader
 //!                                           lease is acquired
 //! at 5  forge JOB for=5                     peers' answers list this job as cancelled, which it is not
-//! at 5  late txn for=10 [controller=N|leader] [at_once=yes]
+//! at 5  late txn for=10 [controller=N|leader] [at_once=yes] [closed=yes]
 //!                                           the next transaction of that controller, or of the leader,
 //!                                           gets no answer and is carried out 10 s later, after newer
 //!                                           ones; at_once: it is carried out at once and only its answer
-//!                                           is lost
+//!                                           is lost; closed: the connection is closed at once, otherwise
+//!                                           the call times out. A further such line is for the
+//!                                           transaction after that
+//! at 5  late lease_end controller=N for=10 [at_once=yes] [closed=yes]
+//!                                           the same for the next call by which the controller ends a
+//!                                           lease
+//! at 5  drop_renewals CONTROLLER|leader for=10   the controller's renewals of leases are lost, and all its
+//!                                           other calls are answered
 //! at 5  late txns for=20 every=3 late=8 [at_once=yes]   the same for every third transaction
 //! at 5  unanswered done=3 failed=2          at least so many transactions without an answer were carried
 //!                                           out, and failed on their conditions
@@ -249,7 +256,7 @@
 }
 
 /// The directives that inject faults, and how long each fault lasts by default.
-const FAULT_DURATIONS: [(&str, Micros); 17] = [
+const FAULT_DURATIONS: [(&str, Micros); 18] = [
     ("crash", 4 * SECOND),
     ("upgrade", 4 * SECOND),
     ("cut", 10 * SECOND),
@@ -264,6 +271,7 @@
     ("heartbeat_copies", 10 * SECOND),
     ("hang", 5 * SECOND),
     ("drop_heartbeats", 30 * SECOND),
+    ("drop_renewals", 10 * SECOND),
     ("slow", 20 * SECOND),
     ("lose", 10 * SECOND),
     ("cancel_now", 0),
--- a/crates/testkit/src/world/calls.rs
+++ b/crates/testkit/src/world/calls.rs
@@ -71,10 +71,10 @@
         let Some(at) = self.arrival(controller, Link::Store, CALL_LATENCY_US) else {
             return;
         };
-        let is_transaction = call.path == "/txn";
-        if is_transaction && self.lose_transaction(controller, at, &call) {
+        if self.lose_store_call(caller, at, &call) {
             return;
         }
+        let is_transaction = call.path == "/txn";
         let crashes = is_transaction && self.crashes_on_page_write(controller, &call.body);
         let event = Event::StoreCall(caller, call.method, call.path, call.body);
         self.schedule_event(at, event);
--- a/crates/testkit/src/world/checks.rs
+++ b/crates/testkit/src/world/checks.rs
@@ -9,10 +9,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 mod acceptance;
+mod fencing;
 mod responses;
 mod service;
 mod waiting;
 
+use fencing::FencingObservations;
+
 /// Counters and observations that the checks need.
 #[derive(Default)]
 pub(super) struct Checks {
@@ -27,6 +30,8 @@
     /// Number of out-of-band requests so far. They have numbers of their own, so that they do not change the
     /// order of other events.
     pub(super) out_of_band_requests: u64,
+    /// Which fencing tokens were on record when.
+    fencing: FencingObservations,
     /// Id of the ended job that was polled last.
     pub(super) last_polled_job: String,
 }
@@ -78,6 +83,7 @@
     /// Checks the invariants over all machines that are not gone, including those that hang, receive no
     /// responses or are cut off.
     pub(super) fn check_invariants(&mut self) -> StepResult {
+        self.observe_fencing_records();
         self.check_all_run_once()?;
         self.check_quota()?;
         self.check_recorded_limits()?;
--- a/crates/testkit/src/world/controllers.rs
+++ b/crates/testkit/src/world/controllers.rs
@@ -182,6 +182,7 @@
         self.trace_effects(index, &effects);
         for effect in effects {
             self.check_lease_certainty(index, &effect);
+            self.check_fencing_token(index, &effect);
             match effect {
                 Effect::Answer {
                     id, status, body, ..
--- a/crates/testkit/src/world/faults.rs
+++ b/crates/testkit/src/world/faults.rs
@@ -7,14 +7,14 @@
 use crate::machines::Machine;
 use crate::script::Directive;
 use crate::time::Micros;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 mod heartbeats;
 mod store;
 mod users;
 
 use heartbeats::{HeartbeatCopies, HeartbeatKey, HeldCopy};
-use store::{RecurringTransactionFault, TransactionFault};
+use store::{LostAnswer, RecurringTransactionFault};
 
 /// A delay that applies until a given time.
 #[derive(Clone, Copy, Debug, Default)]
@@ -35,8 +35,12 @@
 pub(super) struct Faults {
     /// Time at which the last fault of the script is over; armed faults that occur later move it.
     pub(super) end: Micros,
-    /// Faults of the next transaction, by controller; `None` stands for the controller that leads then.
-    next_transaction_faults: BTreeMap<Option<usize>, TransactionFault>,
+    /// Faults of the next transactions, in order, by controller; `None` stands for the controller that leads then.
+    next_transaction_faults: BTreeMap<Option<usize>, VecDeque<LostAnswer>>,
+    /// Faults of the next call that ends a lease, by controller.
+    next_lease_end_faults: BTreeMap<usize, LostAnswer>,
+    /// Time until which a controller's renewals of leases get lost, by controller.
+    renewals_dropped_until: BTreeMap<usize, Micros>,
     recurring_transaction_fault: Option<RecurringTransactionFault>,
     /// Number of transactions without an answer that were applied.
     unanswered_applied: u64,
@@ -100,6 +104,8 @@
         let object = directive.words.get(1).map_or("", String::as_str);
         match (directive.word(0)?, object) {
             ("late", "txn") => self.set_transaction_fault(directive)?,
+            ("late", "lease_end") => self.set_lease_end_fault(directive)?,
+            ("drop_renewals", _) => self.drop_renewals(directive)?,
             ("late", "txns") => self.set_recurring_transaction_fault(directive)?,
             ("unanswered", _) => self.expect_unanswered_transactions(directive)?,
             ("slow", "store") => {
--- a/crates/testkit/src/world/faults/store.rs
+++ b/crates/testkit/src/world/faults/store.rs
@@ -1,20 +1,41 @@
-//! Faults of the key-value store: transactions whose answers are lost, slow answers and outages.
+//! Faults of the key-value store: calls whose answers are lost, slow answers and outages.
 
 use super::super::events::{Caller, Event};
+use super::super::network::CALL_LATENCY_US;
 use super::super::World;
 use crate::error::{ScenarioError, ScriptError, StepResult};
 use crate::script::Directive;
 use crate::time::Micros;
-use grebewood_core::Call;
+use grebewood_core::{Call, Input, Outcome};
 use grebewood_wire::peer::PeerResponse;
 use grebewood_wire::{from_peer, to_peer};
 
-/// A fault of a transaction whose answer is lost.
+/// A fault of a call whose answer is lost.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct TransactionFault {
-    /// Delay after which the key-value store applies it, unless `at_once`.
+pub(super) struct LostAnswer {
+    /// Delay after which the key-value store carries the call out.
     delay: Micros,
-    at_once: bool,
+    /// Whether the connection is closed at once. Otherwise the caller waits until the call times out.
+    closes_connection: bool,
+}
+
+impl LostAnswer {
+    /// Returns the fault that a directive describes, with a default delay in seconds.
+    fn from_directive(
+        directive: &Directive,
+        delay_option: &str,
+        default_delay_s: f64,
+    ) -> Result<LostAnswer, ScriptError> {
+        let delay = directive.duration(delay_option, default_delay_s)?;
+        Ok(LostAnswer {
+            delay: if directive.flag("at_once", false) {
+                0
+            } else {
+                delay
+            },
+            closes_connection: directive.flag("closed", false),
+        })
+    }
 }
 
 /// A fault of every n-th transaction of all controllers, for a time.
@@ -23,12 +44,12 @@
     every: u64,
     /// Number of transactions so far.
     count: u64,
-    fault: TransactionFault,
+    fault: LostAnswer,
 }
 
 impl RecurringTransactionFault {
     /// Counts a transaction, and returns its fault, if it has one.
-    fn next(&mut self, now: Micros) -> Option<TransactionFault> {
+    fn next(&mut self, now: Micros) -> Option<LostAnswer> {
         if now >= self.until {
             return None;
         }
@@ -38,7 +59,8 @@
 }
 
 impl World {
-    /// Makes the answer to the next transaction of a controller, or of the leader at that time, get lost.
+    /// Makes the answer to a transaction of a controller, or of the leader at that time, get lost: to the next one
+    /// that no earlier directive concerns.
     pub(super) fn set_transaction_fault(
         &mut self,
         directive: &Directive,
@@ -47,13 +69,25 @@
             None | Some("leader") => None,
             Some(word) => Some(self.controller_named(word)?),
         };
-        let fault = TransactionFault {
-            delay: directive.duration("for", 10.0)?,
-            at_once: directive.flag("at_once", false),
-        };
-        self.faults
-            .next_transaction_faults
-            .insert(controller, fault);
+        let fault = LostAnswer::from_directive(directive, "for", 10.0)?;
+        let faults = &mut self.faults.next_transaction_faults;
+        faults.entry(controller).or_default().push_back(fault);
+        Ok(())
+    }
+
+    /// Makes the answer to the next call by which a controller ends a lease get lost.
+    pub(super) fn set_lease_end_fault(&mut self, directive: &Directive) -> Result<(), ScriptError> {
+        let controller = self.controller_named(&directive.text("controller", "leader"))?;
+        let fault = LostAnswer::from_directive(directive, "for", 10.0)?;
+        self.faults.next_lease_end_faults.insert(controller, fault);
+        Ok(())
+    }
+
+    /// Makes the renewals of leases that a controller sends get lost for a time, while its other calls are answered.
+    pub(super) fn drop_renewals(&mut self, directive: &Directive) -> Result<(), ScriptError> {
+        let controller = self.controller_named(directive.word(1)?)?;
+        let until = self.now + directive.duration("for", 10.0)?;
+        self.faults.renewals_dropped_until.insert(controller, until);
         Ok(())
     }
 
@@ -62,10 +96,7 @@
         &mut self,
         directive: &Directive,
     ) -> Result<(), ScriptError> {
-        let fault = TransactionFault {
-            delay: directive.duration("late", 8.0)?,
-            at_once: directive.flag("at_once", false),
-        };
+        let fault = LostAnswer::from_directive(directive, "late", 8.0)?;
         self.faults.recurring_transaction_fault = Some(RecurringTransactionFault {
             until: self.now + directive.duration("for", 20.0)?,
             every: directive.count("every", 3)?.max(1),
@@ -91,30 +122,57 @@
         Ok(())
     }
 
-    /// Sends a transaction in such a way that its answer is lost, if it has such a fault. Returns whether it has.
-    pub(in crate::world) fn lose_transaction(
+    /// Sends a call to the key-value store in such a way that its answer is lost, if it has such a fault. Returns
+    /// whether it has.
+    pub(in crate::world) fn lose_store_call(
         &mut self,
-        controller: usize,
+        caller: Caller,
         at: Micros,
         call: &Call,
     ) -> bool {
-        let Some(fault) = self.next_transaction_fault(controller) else {
+        if self.drops_renewal(caller.controller, call) {
+            return true;
+        }
+        let Some(fault) = self.next_store_call_fault(caller.controller, call) else {
             return false;
         };
-        let nobody = Caller::nobody(controller, call.id);
-        let at = if fault.at_once { at } else { at + fault.delay };
+        let nobody = Caller::nobody(caller.controller, call.id);
         let event = Event::StoreCall(nobody, call.method, call.path.clone(), call.body.clone());
-        self.schedule_event(at, event);
+        self.schedule_event(at + fault.delay, event);
+        if fault.closes_connection {
+            let closed = Input::Reply {
+                call: call.id,
+                outcome: Outcome::Unknown,
+            };
+            let event = Event::Input(caller.controller, caller.process, closed);
+            self.schedule_event(at + CALL_LATENCY_US, event);
+        }
         true
     }
 
+    /// Returns whether a call renews a lease and gets lost.
+    fn drops_renewal(&self, controller: usize, call: &Call) -> bool {
+        let until = self.faults.renewals_dropped_until.get(&controller);
+        call.path.ends_with("/extend") && until.is_some_and(|until| self.now < *until)
+    }
+
+    /// Returns the fault of the call to the key-value store that a controller sends now, if it has one.
+    fn next_store_call_fault(&mut self, controller: usize, call: &Call) -> Option<LostAnswer> {
+        match (call.method, call.path.as_str()) {
+            ("POST", "/txn") => self.next_transaction_fault(controller),
+            ("DELETE", _) => self.faults.next_lease_end_faults.remove(&controller),
+            _ => None,
+        }
+    }
+
     /// Returns the fault of the transaction that a controller sends now, if it has one.
-    fn next_transaction_fault(&mut self, controller: usize) -> Option<TransactionFault> {
+    fn next_transaction_fault(&mut self, controller: usize) -> Option<LostAnswer> {
         let (now, leads) = (self.now, self.leads(controller));
         let faults = &mut self.faults;
-        let mut fault = faults.next_transaction_faults.remove(&Some(controller));
+        let mut next_of = |who| faults.next_transaction_faults.get_mut(&who)?.pop_front();
+        let mut fault = next_of(Some(controller));
         if fault.is_none() && leads {
-            fault = faults.next_transaction_faults.remove(&None);
+            fault = next_of(None);
         }
         if fault.is_none() {
             let recurring = faults.recurring_transaction_fault.as_mut();
--- a/crates/testkit/src/world/network.rs
+++ b/crates/testkit/src/world/network.rs
@@ -65,6 +65,12 @@
         let refused = refused.filter(|(index, _)| *index == controller);
         refused.map(|(_, until)| *until).max().unwrap_or(0)
     }
+
+    /// Returns whether a controller's link to the key-value store is cut.
+    pub(super) fn is_cut_from_store(&self, controller: usize, now: Micros) -> bool {
+        let mut cuts = self.cuts.iter();
+        cuts.any(|cut| now < cut.until && cut.affects(controller, Link::Store))
+    }
 }
 
 impl World {
--- a/crates/testkit/src/world/tests.rs
+++ b/crates/testkit/src/world/tests.rs
@@ -17,6 +17,7 @@
 use std::collections::BTreeMap;
 
 mod acceptance;
+mod fencing;
 mod heartbeats;
 mod placement;
 mod responses;
--- a/crates/testkit/src/world/tests/store.rs
+++ b/crates/testkit/src/world/tests/store.rs
@@ -15,7 +15,12 @@
 }
 
 fn loses_transaction(world: &mut World, controller: usize) -> bool {
-    world.lose_transaction(controller, world.now, &transaction())
+    let caller = Caller {
+        controller,
+        process: world.controllers[controller].process,
+        call: transaction().id,
+    };
+    world.lose_store_call(caller, world.now, &transaction())
 }
 
 #[test]
@@ -57,6 +62,71 @@
     assert!(!loses_transaction(&mut world, leader) && loses_transaction(&mut world, other));
 }
 
+/// A call to end a lease, or to renew it.
+fn lease_call(method: &'static str, path: &str) -> Call {
+    Call {
+        method,
+        path: path.into(),
+        ..transaction()
+    }
+}
+
+fn loses(world: &mut World, call: &Call) -> bool {
+    let caller = call_of_first(world);
+    world.lose_store_call(caller, world.now, call)
+}
+
+/// The second directive is for the transaction after that of the first one, and a closed connection tells the caller
+/// at once that it gets no answer.
+#[test]
+fn transactions_in_a_row_are_lost_and_connections_closed() {
+    let mut world = world_with_running_job();
+    world.queue.clear();
+    for options in [
+        [("controller", "0"), ("for", "5"), ("closed", "yes")],
+        [("controller", "0"), ("at_once", "yes"), ("closed", "no")],
+    ] {
+        world
+            .run_directive(&directive("late txn", &options))
+            .expect("a fault");
+    }
+    let lost: Vec<bool> = (0..3).map(|_| loses_transaction(&mut world, 0)).collect();
+    assert_eq!(lost, [true, true, false]);
+    let events = world.queue.iter();
+    let after = events.map(|((at, _), event)| (at - world.now, matches!(event, Event::Input(..))));
+    let expected = [(0, false), (CALL_LATENCY_US, true), (5 * SECOND, false)];
+    assert_eq!(after.collect::<Vec<_>>(), expected);
+}
+
+#[test]
+fn the_end_of_a_lease_is_late() {
+    let mut world = world_with_running_job();
+    world.queue.clear();
+    let late = [("controller", "0"), ("for", "5")];
+    world
+        .run_directive(&directive("late lease_end", &late))
+        .expect("a fault");
+    let end = lease_call("DELETE", "/leases/1");
+    assert!(!loses_transaction(&mut world, 0));
+    assert!(loses(&mut world, &end) && !loses(&mut world, &end));
+    let at: Vec<Micros> = world.queue.keys().map(|(at, _)| *at).collect();
+    assert_eq!(at, [world.now + 5 * SECOND]);
+}
+
+#[test]
+fn renewals_are_dropped_for_a_time() {
+    let mut world = world_with_running_job();
+    world.queue.clear();
+    let drop = directive("drop_renewals 0", &[("for", "5")]);
+    world.run_directive(&drop).expect("a fault");
+    let renewal = lease_call("POST", "/leases/1/extend");
+    assert!(loses(&mut world, &renewal) && loses(&mut world, &renewal));
+    assert!(!loses_transaction(&mut world, 0));
+    assert!(world.queue.is_empty());
+    world.now += 5 * SECOND;
+    assert!(!loses(&mut world, &renewal));
+}
+
 /// Returns the latency of a reply over this link.
 fn reply_latency(world: &mut World, link: Link) -> Option<Micros> {
     let caller = call_of_first(world);
@@ -99,6 +169,8 @@
     };
     for (line, seconds) in [
         ("late txn for=5", 15),
+        ("late lease_end for=5", 15),
+        ("drop_renewals 0", 20),
         ("late txns for=20 late=8", 38),
         ("drop_heartbeats all", 40),
         ("slow store for=5", 15),
