Lead only under the record of one's own claim and lease

Cause: a claim without an answer was read back, found absent, and given up together with its lease; the next candidacy had a new lease. The store carried the first claim out just then, refused the second, whose answer was lost, and the second read-back took the first claim's record for its own, since both have the same member and incarnation. The leader then renewed the second lease, and was answered 200, while its record ended with the first lease. Another controller was elected.

Change: a record that is read back counts as one's own only if it is attached to the lease of that claim; the lease of an earlier claim that was applied late is ended, and its record with it. And a claim whose outcome is unknown is repeated under its own lease while that is young, instead of under a new one: whichever of the two is applied, the record is attached to the lease that the leader renews. Why this works: a leader now renews the lease of its record in each case, so when the record ends the next renewal is answered 404, and it steps down within a quarter of the lease.

--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -130,6 +130,8 @@
     Claim {
         /// The id of the lease that the leader record is put under.
         lease: u64,
+        /// Whether there was a claim under the same lease before, whose outcome is unknown.
+        is_repeated: bool,
     },
     /// Reads the leader record back after a put without a clear outcome.
     ReadBack {
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -19,6 +19,7 @@
 pub(crate) mod candidacy;
 pub(crate) mod catalogue;
 pub(crate) mod catalogue_reader;
+pub(crate) mod claim_read_back;
 pub(crate) mod heartbeats;
 pub(crate) mod job_view;
 pub(crate) mod leader;
--- a/crates/core/src/controller/candidacy.rs
+++ b/crates/core/src/controller/candidacy.rs
@@ -28,6 +28,13 @@
 /// Delay until the next read of the leader record after ending the lease of a candidacy or of leadership.
 const PROBE_AFTER_LEASE_END_US: Micros = 100 * MILLI;
 
+/// Delay until a claim without a clear outcome is repeated.
+const CLAIM_RETRY_DELAY_US: Micros = 100 * MILLI;
+
+/// A claim is repeated under its lease until this part of the lease's time to live has passed since it was requested:
+/// the time to live divided by this number.
+const CLAIM_RETRY_TTL_DIVISOR: Micros = 2;
+
 /// Time for which a leader that resigned does not become a candidate.
 const ABSTENTION_US: Micros = 10 * SECOND;
 
@@ -52,7 +59,9 @@
             return self.send_contact_requests();
         }
         self.election.next_probe = now + PROBE_INTERVAL_US;
-        if !self.election.request_in_flight {
+        if let Some(lease) = self.election.claim_to_repeat.take() {
+            self.claim_leadership(lease, true);
+        } else if !self.election.request_in_flight {
             self.election.request_in_flight = true;
             self.context
                 .read_key(LEADER_KEY, CallPurpose::Election(ElectionStep::Probe));
@@ -76,18 +85,25 @@
         match (step, status) {
             (ElectionStep::Probe, 200) => self.on_leader_record(&body),
             (ElectionStep::Probe, 404) => self.on_leader_record_absent(),
-            (ElectionStep::Lease, 200) => self.claim_leadership(&body),
-            (ElectionStep::Claim { lease }, 200) => {
+            (ElectionStep::Lease, 200) => self.on_lease_granted(&body),
+            (ElectionStep::Claim { lease, .. }, 200) => {
                 match wire::from_cbor::<TransactionApplied>(&body) {
                     Ok(applied) => self.become_leader(applied.revision, lease),
                     Err(_) => self.end_candidacy(lease),
                 }
             }
-            (ElectionStep::Claim { lease }, 0) => self.read_leader_claim_back(lease),
+            (ElectionStep::Claim { lease, .. }, 0) => self.read_leader_claim_back(lease),
+            // The record that exists may be that of an earlier claim under the same lease.
+            (
+                ElectionStep::Claim {
+                    lease,
+                    is_repeated: true,
+                },
+                409,
+            ) => self.read_leader_claim_back(lease),
+            (ElectionStep::Claim { lease, .. }, _) => self.end_candidacy(lease),
             (ElectionStep::ReadBack { lease }, 200) => self.on_leader_claim_read_back(lease, &body),
-            (ElectionStep::Claim { lease } | ElectionStep::ReadBack { lease }, _) => {
-                self.end_candidacy(lease);
-            }
+            (ElectionStep::ReadBack { lease }, _) => self.repeat_claim_later(lease),
             _ => {}
         }
     }
@@ -144,21 +160,24 @@
         self.context.post_to_store("/leases", &request, purpose);
     }
 
-    /// Puts the leader record under the granted lease, on the condition that there is still no leader record.
-    fn claim_leadership(&mut self, body: &[u8]) {
-        let Ok(lease) = wire::from_cbor::<Lease>(body) else {
-            return;
-        };
+    fn on_lease_granted(&mut self, body: &[u8]) {
+        if let Ok(lease) = wire::from_cbor::<Lease>(body) {
+            self.claim_leadership(lease.id, false);
+        }
+    }
+
+    /// Puts the leader record under the lease, on the condition that there is still no leader record.
+    fn claim_leadership(&mut self, lease: u64, is_repeated: bool) {
         self.election.request_in_flight = true;
         let transaction = Transaction {
             when: vec![absent(LEADER_KEY)],
             apply: vec![Operation::Put {
                 put: LEADER_KEY.into(),
                 value: wire::http::to_value(&self.own_leader_record()),
-                lease: Some(lease.id),
+                lease: Some(lease),
             }],
         };
-        let step = ElectionStep::Claim { lease: lease.id };
+        let step = ElectionStep::Claim { lease, is_repeated };
         self.context
             .post_to_store("/txn", &transaction, CallPurpose::Election(step));
     }
@@ -172,26 +191,27 @@
             .read_key(LEADER_KEY, CallPurpose::Election(step));
     }
 
-    /// Becomes the leader if the leader record that was read back is this process's own.
+    /// Becomes the leader if the leader record that was read back is that of the claim under this lease.
     fn on_leader_claim_read_back(&mut self, lease: u64, body: &[u8]) {
-        let entry = wire::from_cbor::<KeyValue<LeaderRecord>>(body).ok();
-        if let Some(entry) = &entry {
-            info!(
-                member = entry.value.member.as_str(), token = entry.mod_revision,
-                lease = lease, record_lease:? = entry.lease;
-                "read the leader record back"
-            );
-        }
-        let own = entry.filter(|entry| {
-            entry.value.member == self.context.settings.member
-                && entry.value.incarnation == self.election.incarnation
-        });
-        match own {
-            Some(entry) => self.become_leader(entry.mod_revision, lease),
+        match self.confirm_claim::<LeaderRecord>(lease, body) {
+            Some(token) => self.become_leader(token, lease),
             None => self.end_candidacy(lease),
         }
     }
 
+    /// Repeats a claim whose outcome is still unknown after a pause, under the same lease: whichever of the claims the
+    /// store applies, the leader record is attached to that lease. An old lease is ended instead, since it may expire
+    /// before it is renewed.
+    fn repeat_claim_later(&mut self, lease: u64) {
+        let now = self.context.now.steady;
+        let max_age = self.context.tuning.leader_lease_us / CLAIM_RETRY_TTL_DIVISOR;
+        if now.saturating_sub(self.election.lease_requested_at) > max_age {
+            return self.end_candidacy(lease);
+        }
+        self.election.claim_to_repeat = Some(lease);
+        self.election.next_probe = now + CLAIM_RETRY_DELAY_US;
+    }
+
     /// Returns the record with which this controller claims leadership.
     fn own_leader_record(&self) -> LeaderRecord {
         LeaderRecord {
--- a/crates/core/src/state/election.rs
+++ b/crates/core/src/state/election.rs
@@ -33,6 +33,8 @@
     pub(crate) incarnation: u64,
     /// Time at which a lease for a candidacy was last requested.
     pub(crate) lease_requested_at: Micros,
+    /// Lease of the candidacy whose claim is repeated at `next_probe`, since the outcome of the claim is unknown.
+    pub(crate) claim_to_repeat: Option<u64>,
     /// Last response of each peer, by the index of the peer in the settings.
     pub(crate) peers: BTreeMap<usize, PeerView>,
     /// Number of the last contact requests to the peers.
@@ -53,6 +55,7 @@
             abstain_until: 0,
             incarnation,
             lease_requested_at: 0,
+            claim_to_repeat: None,
             peers: BTreeMap::new(),
             last_contact_request: 0,
             next_contact_request: 0,
