Hold a partition only under the record of one's own claim and lease

What callers saw: agents of a partition were answered 200 by a member whose claim on it had ended, and the partition was given to another member a moment later, although its holder was well.

A claim on a partition that was read back counted as one's own by member and incarnation, not by lease: after an earlier claim was carried out late, the holder renewed the later claim's lease, and the claim ended with the earlier one's. What bounded the effect is that the leader sees the missing claim on the map, and assigns the partition anew after 0.6 s.

Change: the read-back of a claim on a partition uses `confirm_claim`, too: the lease must be that of the claim. The earlier claim's lease is ended at once, since no holder ever acts under it, and the member claims again.

--- a/crates/core/src/controller/claim_read_back.rs
+++ b/crates/core/src/controller/claim_read_back.rs
@@ -9,7 +9,7 @@
 use crate::controller::Controller;
 use grebewood_wire as wire;
 use grebewood_wire::http::KeyValue;
-use grebewood_wire::records::LeaderRecord;
+use grebewood_wire::records::{LeaderRecord, PartitionClaim};
 use log::{info, warn};
 use serde::de::DeserializeOwned;
 
@@ -32,6 +32,16 @@
     }
 }
 
+impl ClaimRecord for PartitionClaim {
+    fn member(&self) -> &str {
+        &self.member
+    }
+
+    fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+}
+
 impl Controller {
     /// Returns the fencing token of the claim that this process made under `lease`, if `body` shows that the store has
     /// the claim's record. If the store has the record of an earlier claim of this process instead, that claim's lease
--- a/crates/core/src/controller/partition_claims.rs
+++ b/crates/core/src/controller/partition_claims.rs
@@ -11,7 +11,7 @@
 use grebewood_partition::PartitionId;
 use grebewood_wire as wire;
 use grebewood_wire::http::{
-    to_value, KeyValue, Lease, LeaseRequest, Operation, Redirect, Transaction, TransactionApplied,
+    to_value, Lease, LeaseRequest, Operation, Redirect, Transaction, TransactionApplied,
 };
 use grebewood_wire::records::{claim_key, partition_key, PartitionClaim, LEADER_KEY};
 use log::{info, warn};
@@ -159,6 +159,10 @@
     }
 
     fn read_claim_back(&mut self, id: PartitionId, lease: u64) {
+        info!(
+            member = self.context.settings.member.as_str(), partition = id, lease = lease;
+            "outcome of a claim is unknown; reading the partition's claim record back"
+        );
         let purpose = CallPurpose::PartitionClaim {
             partition: id,
             step: ClaimStep::ReadBack { lease },
@@ -167,13 +171,8 @@
     }
 
     fn on_claim_read_back(&mut self, id: PartitionId, lease: u64, body: &[u8]) {
-        let entry = wire::from_cbor::<KeyValue<PartitionClaim>>(body).ok();
-        let own = entry.filter(|entry| {
-            entry.value.member == self.context.settings.member
-                && entry.value.incarnation == self.election.incarnation()
-        });
-        match own {
-            Some(entry) => self.become_holder(id, lease, entry.mod_revision),
+        match self.confirm_claim::<PartitionClaim>(lease, body) {
+            Some(token) => self.become_holder(id, lease, token),
             None => self.on_claim_failed(id, Some(lease)),
         }
     }
