Step down for a peer's higher token with contact to the store, too

Any answer of the store counts as contact, and a leader with contact did not look at what its peers had read: a peer's fencing token of a leader counted only after 2 s without contact. So a leader whose renewals alone get no answer goes on after its record has ended, while its peers tell it of its successor's token every second.

Change: a peer's higher token ends leadership at once, with contact as without. It cannot be wrong: peers report only tokens of leader records that they read from the store or put there themselves, revisions grow only, and there is one leader record. For partitions nothing changes: a claim stays valid under a later leader.

--- a/crates/core/src/controller/peer_contact.rs
+++ b/crates/core/src/controller/peer_contact.rs
@@ -265,9 +265,9 @@
 
     /// Steps down as leader if this controller may not act under the leader's lease any longer.
     ///
-    /// A leader without contact with the store distinguishes three cases:
-    /// - A peer had contact at a time at which the leader's lease had expired, or knows of a higher fencing
-    ///   token: the leader steps down at once.
+    /// A leader steps down at once if a peer knows of a higher fencing token. A leader without contact with the store
+    /// distinguishes three further cases:
+    /// - A peer had contact at a time at which the leader's lease had expired: the leader steps down at once.
     /// - The peers answer with the cancellations that they confirmed: the leader goes on, as it would with the
     ///   store.
     /// - A peer does not answer, or no longer remembers: it may have confirmed cancellations that the leader
@@ -284,19 +284,15 @@
 
     /// Returns why this controller may not act under the scheduler's lease any longer; `None` if it may.
     pub(crate) fn lease_loss(&self, scheduler: &Scheduler) -> Option<LeaseLoss> {
+        // Also with contact: calls may be answered while the renewals of the lease are lost.
+        if scheduler.role == Role::Leader && self.peers_know_higher_token(scheduler.token) {
+            return Some(LeaseLoss::HigherToken);
+        }
         let now = self.context.now.steady;
         let last_contact = self.context.last_store_contact?;
         if now.saturating_sub(last_contact) >= STORE_CONTACT_TIMEOUT_US {
             let expired_at = last_contact + self.context.tuning.leader_lease_us;
             let mut peers = self.election.peers.values();
-            // The claim on a partition stays valid under a later leader.
-            if scheduler.role == Role::Leader
-                && peers
-                    .clone()
-                    .any(|peer| peer.highest_token > scheduler.token)
-            {
-                return Some(LeaseLoss::HigherToken);
-            }
             if peers.any(|peer| peer.last_contact.is_some_and(|at| at > expired_at)) {
                 return Some(LeaseLoss::StoreServesPeer);
             }
@@ -304,6 +300,13 @@
         let unknown = scheduler.is_loaded() && !self.may_renew_agent_leases();
         unknown.then_some(LeaseLoss::CancellationsUnknown)
     }
+
+    /// Returns whether a peer has read a leader record with a higher fencing token, so that the leader record with
+    /// this token is gone. The claim on a partition stays valid under a later leader.
+    fn peers_know_higher_token(&self, token: u64) -> bool {
+        let mut peers = self.election.peers.values();
+        peers.any(|peer| peer.highest_token > token)
+    }
 }
 
 #[cfg(test)]
--- a/crates/core/src/controller/peer_contact/tests.rs
+++ b/crates/core/src/controller/peer_contact/tests.rs
@@ -3,7 +3,8 @@
 use crate::controller::Controller;
 use crate::scheduler::Scheduler;
 use crate::test_support::{
-    advance_time, clocks, first_heartbeat, job_record, leader_before_loading, WALL_CLOCK_START_US,
+    advance_time, clocks, first_heartbeat, job_record, leader_before_loading, tick,
+    WALL_CLOCK_START_US,
 };
 use crate::{Effect, Input, Interface, Micros, NoStopwatch, Outcome, MILLI, SECOND};
 use grebewood_wire as wire;
@@ -149,6 +150,40 @@
     assert!(controller.context.cancellations.get("req-1").is_some());
 }
 
+/// Returns whether a leader with contact to the store still leads after a peer told it of this fencing token of a
+/// leader.
+fn leads_after_hearing_of(highest_leader_token: u64) -> bool {
+    let mut controller = leader_before_loading(20 * SECOND);
+    controller.context.last_store_contact = Some(20 * SECOND);
+    let response = PeerResponse {
+        member: "perch-1".into(),
+        store_contact_age_us: Some(0),
+        token: highest_leader_token,
+        highest_leader_token,
+        confirmed: None,
+        supports_partitions: false,
+        supports_quota_grants: false,
+        limits: None,
+        report: None,
+    };
+    let outcome = Outcome::Answer {
+        status: 200,
+        body: wire::to_peer(&response),
+    };
+    controller.on_contact_response(0, 1, 20 * SECOND, outcome);
+    tick(&mut controller, 20 * SECOND + MILLI);
+    controller.leader.is_some()
+}
+
+/// Two leaders acted: the leader record was gone and another member led, but a leader with contact to the store paid
+/// no attention to what its peers had read.
+#[test]
+fn a_leader_with_store_contact_steps_down_for_a_higher_token() {
+    let own_token = 7;
+    assert!(leads_after_hearing_of(own_token));
+    assert!(!leads_after_hearing_of(own_token + 1));
+}
+
 /// Returns a leader that learned from elsewhere than the store that `req-1` is cancelled, and is about to read the
 /// cancellation's record.
 fn leader_with_learned_cancellation() -> Controller {
