Read the record of a lease after a renewal without an answer

What callers saw: two leaders answered agents with 200 for as long as the renewals of the first one's lease were lost, the store answered its other calls, and its peers could not be asked.

Cause: whether a lease may have expired was judged by contact with the store at large, not by its renewals. With any answer in the last 2 s a leader took its lease for valid, and nothing but a write, a renewal answered 404 or a peer told it otherwise.

Change: after a renewal without an answer the leader, and likewise the holder of a partition, reads the record that is attached to its lease; if it is gone or replaced, the lease is lost. Why this works: revisions are never given twice, so a record that is not there under one's token never comes back; a read that finds it proves nothing and changes nothing.

--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -79,6 +79,8 @@
 pub enum SchedulerCall {
     /// Renews the lease to which the leader record or the partition's claim record is attached.
     RenewLease,
+    /// Reads the record that is attached to that lease, after a renewal without an answer.
+    ReadFencedRecord,
     /// Reads a page of the keys with a prefix.
     List {
         /// The prefix.
--- a/crates/core/src/scheduler/write_conditions.rs
+++ b/crates/core/src/scheduler/write_conditions.rs
@@ -29,20 +29,31 @@
         ])
     }
 
+    /// Returns the key of the record that is attached to the fenced lease.
+    pub(crate) fn fenced_record_key(&self) -> String {
+        self.partition()
+            .map_or_else(|| LEADER_KEY.to_string(), claim_key)
+    }
+
+    /// Returns the reason why the fenced lease is lost if that record is not in the store any more.
+    pub(crate) fn fenced_record_lost(&self) -> String {
+        let record = match self.partition() {
+            Some(_) => "claim on the partition",
+            None => "leader record",
+        };
+        format!("the {record} has changed or is gone")
+    }
+
     /// Handles a write that failed because these conditions did not hold. The error is the reason why the fenced
     /// lease is lost.
     pub(crate) fn on_conditions_failed(&mut self, failed_keys: &[String]) -> Result<(), String> {
         let has_failed = |key: &str| failed_keys.iter().any(|failed| failed == key);
+        if has_failed(&self.fenced_record_key()) {
+            return Err(self.fenced_record_lost());
+        }
         let Some(partition) = self.partition() else {
-            return if has_failed(LEADER_KEY) {
-                Err("the leader record has changed or is gone".into())
-            } else {
-                Ok(())
-            };
+            return Ok(());
         };
-        if has_failed(&claim_key(partition)) {
-            return Err("the claim on the partition has changed or is gone".into());
-        }
         if has_failed(LEADER_KEY) {
             info!(partition = partition; "leader record has changed or is gone; this partition holder places no task until a leader sends it orders");
             self.holder_quota.leader_token = None;
