Put all that concerns a scheduler's fenced lease into one module

Cause: renewals stood in timers.rs, their replies in replies.rs, the record's key in write_conditions.rs, and why a lease is lost was a String that each of them spelled out.

Change: scheduler/fenced_lease.rs has renewals, the read of the record and what shows that the lease is lost; the reasons are the enum `FencedLeaseLost` with the texts as before. A test that compared the text compares the variant, which is as strict. No behaviour is changed.

--- a/crates/core/src/controller/leader.rs
+++ b/crates/core/src/controller/leader.rs
@@ -32,7 +32,7 @@
     pub(crate) fn on_scheduler_reply(&mut self, token: u64, call: SchedulerCall, outcome: Outcome) {
         if let Some(leader) = self.leader.as_mut().filter(|leader| leader.token == token) {
             if let Err(reason) = leader.on_reply(&mut self.context, call, outcome) {
-                self.step_down(&reason, StepDownMode::LeaseLost);
+                self.step_down(reason, StepDownMode::LeaseLost);
             }
             return;
         }
@@ -42,7 +42,7 @@
         };
         let id = *id;
         if let Err(reason) = holder.on_reply(&mut self.context, call, outcome) {
-            self.release_partition(id, &ReleaseReason::Scheduler(reason));
+            self.release_partition(id, &ReleaseReason::from(reason));
         }
     }
 }
--- a/crates/core/src/controller/partition_claims.rs
+++ b/crates/core/src/controller/partition_claims.rs
@@ -5,6 +5,7 @@
 use crate::context::Role;
 use crate::controller::peer_contact::{LeaseLoss, STORE_CONTACT_TIMEOUT_US};
 use crate::controller::Controller;
+use crate::scheduler::fenced_lease::FencedLeaseLost;
 use crate::scheduler::{FencedLease, Scheduler};
 use crate::transactions::{absent, at_revision};
 use crate::{Micros, Outcome, Stopwatch, MILLI, SECOND};
@@ -44,9 +45,9 @@
     /// This controller may not act under the lease of its claim any longer.
     #[error(transparent)]
     LeaseLost(#[from] LeaseLoss),
-    /// The holder's scheduler reported, with this reason, that it lost its fenced lease.
-    #[error("{0}")]
-    Scheduler(String),
+    /// The lease of the claim has expired, or the claim is gone.
+    #[error(transparent)]
+    FencedLeaseLost(#[from] FencedLeaseLost),
 }
 
 impl Controller {
--- a/crates/core/src/scheduler.rs
+++ b/crates/core/src/scheduler.rs
@@ -34,12 +34,12 @@
 use crate::{Micros, SECOND};
 use grebewood_quota::TeamAmounts;
 use grebewood_wire::records::PARTITION_PREFIX;
-use log::info;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 pub(crate) mod agents;
 pub(crate) mod assignment_pages;
 pub(crate) mod completion;
+pub(crate) mod fenced_lease;
 pub(crate) mod flush;
 pub(crate) mod holder;
 pub(crate) mod leader;
@@ -75,6 +75,14 @@
     pub lease_requested_at: Micros,
 }
 
+impl FencedLease {
+    /// Returns when the lease is first renewed. The time counts from the request: with a slow store the lease may
+    /// already have been running for some time.
+    pub(crate) fn first_renewal_at(&self, context: &Context) -> Micros {
+        self.lease_requested_at + context.tuning.leader_lease_us / RENEWALS_PER_LEASE
+    }
+}
+
 /// The state under one fenced lease. All times are in microseconds of the steady clock.
 ///
 /// The fields are in three groups: those shared by the leader and the holders of partitions, those that only the
@@ -196,9 +204,7 @@
             role,
             token: lease.token,
             lease: lease.lease,
-            // Counted from the request: with a slow store the lease may already have been running for some time.
-            lease_renewal_at: lease.lease_requested_at
-                + context.tuning.leader_lease_us / RENEWALS_PER_LEASE,
+            lease_renewal_at: lease.first_renewal_at(context),
             is_lease_uncertain: false,
             lease_acquired_at: now,
             loading: None,
@@ -270,24 +276,6 @@
             || loading.is_none_or(|loading| loading.has_read(PARTITION_PREFIX))
     }
 
-    /// Returns the id of the fenced lease in the key-value store.
-    pub(crate) fn lease(&self) -> u64 {
-        self.lease
-    }
-
-    /// Returns whether the fenced lease may have expired during a pause of the process.
-    pub fn is_lease_uncertain(&self) -> bool {
-        self.is_lease_uncertain
-    }
-
-    /// Records that the fenced lease still holds, which ends the uncertainty after a pause of the process.
-    pub(crate) fn confirm_lease(&mut self) {
-        if self.is_lease_uncertain {
-            self.is_lease_uncertain = false;
-            info!(token = self.token; "lease of this leader or partition holder still holds after a process pause");
-        }
-    }
-
     /// Returns the purpose of a call that this scheduler makes, by which the reply is routed back to it.
     pub(crate) fn call_purpose(&self, call: SchedulerCall) -> CallPurpose {
         CallPurpose::Scheduler {
--- a/crates/core/src/scheduler/flush/outcome.rs
+++ b/crates/core/src/scheduler/flush/outcome.rs
@@ -1,6 +1,7 @@
 //! Handles the store's response to a flush.
 
 use crate::context::Context;
+use crate::scheduler::fenced_lease::FencedLeaseLost;
 use crate::scheduler::Scheduler;
 use crate::state::jobs::{FinalStatus, Job, JobIndex};
 use crate::state::write_buffer::{Batch, RecordId};
@@ -23,12 +24,12 @@
 const HTTP_SERVICE_UNAVAILABLE: u16 = 503;
 
 impl Scheduler {
-    /// Handles the store's response to a flush. The error is the reason why the fenced lease is lost.
+    /// Handles the store's response to a flush. The error says why the fenced lease is lost.
     pub(crate) fn on_flush(
         &mut self,
         context: &mut Context,
         outcome: Outcome,
-    ) -> Result<(), String> {
+    ) -> Result<(), FencedLeaseLost> {
         let Some(batch) = self.write_buffer.in_flight.take() else {
             return Ok(());
         };
@@ -61,7 +62,7 @@
         context: &mut Context,
         batch: &Batch,
         body: &[u8],
-    ) -> Result<(), String> {
+    ) -> Result<(), FencedLeaseLost> {
         let conflict = wire::from_cbor::<TransactionConflict>(body);
         let failed_keys = conflict.map_or_else(|_| Vec::new(), |conflict| conflict.failed);
         self.write_buffer.back_off(context.now.steady, MILLI);
--- a/crates/core/src/scheduler/flush/read_back.rs
+++ b/crates/core/src/scheduler/flush/read_back.rs
@@ -2,6 +2,7 @@
 
 use crate::calls::SchedulerCall;
 use crate::context::Context;
+use crate::scheduler::fenced_lease::FencedLeaseLost;
 use crate::scheduler::Scheduler;
 use crate::state::write_buffer::{Batch, RecordId};
 use crate::Outcome;
@@ -29,7 +30,7 @@
         &mut self,
         context: &mut Context,
         outcome: Outcome,
-    ) -> Result<(), String> {
+    ) -> Result<(), FencedLeaseLost> {
         let Some(mut batch) = self.write_buffer.in_flight.take() else {
             return Ok(());
         };
--- a/crates/core/src/scheduler/holder/placement/tests.rs
+++ b/crates/core/src/scheduler/holder/placement/tests.rs
@@ -1,5 +1,6 @@
 use crate::context::Role;
 use crate::controller::Controller;
+use crate::scheduler::fenced_lease::FencedLeaseLost;
 use crate::scheduler::{FencedLease, Scheduler};
 use crate::state::jobs::Job;
 use crate::state::long_polls::HeldHeartbeat;
@@ -258,10 +259,7 @@
     );
     assert_nothing_is_written(&mut controller, &mut holder);
     let ended = holder.on_conditions_failed(&[claim_key(1)]);
-    assert_eq!(
-        ended,
-        Err("the claim on the partition has changed or is gone".to_string())
-    );
+    assert_eq!(ended, Err(FencedLeaseLost::ClaimGone));
 }
 
 fn assert_nothing_is_written(controller: &mut Controller, holder: &mut Scheduler) {
--- a/crates/core/src/scheduler/timers.rs
+++ b/crates/core/src/scheduler/timers.rs
@@ -1,15 +1,10 @@
 //! Runs the periodic work of a scheduler.
 
-use crate::calls::SchedulerCall;
 use crate::context::Context;
 use crate::scheduler::store_reads::Watch;
-use crate::scheduler::{Scheduler, RENEWALS_PER_LEASE, STATS_WRITE_INTERVAL_US};
+use crate::scheduler::{Scheduler, STATS_WRITE_INTERVAL_US};
 use crate::state::write_buffer::RecordId;
-use crate::{Micros, Stopwatch, Target, SECOND};
-
-/// Number of lease renewals that are sent within the time to live of the lease after a failed renewal, and while it is
-/// uncertain whether the fenced lease still holds.
-pub(crate) const URGENT_RENEWALS_PER_LEASE: Micros = 12;
+use crate::{Micros, Stopwatch, SECOND};
 
 /// Delay of the write of changed statistics.
 const STATS_WRITE_DELAY_US: Micros = SECOND;
@@ -81,20 +76,6 @@
         self.run_progress(context);
     }
 
-    /// Sends a renewal of the fenced lease. The reply may be lost, so the next renewal is sent regardless of it.
-    fn renew_lease(&mut self, context: &mut Context) {
-        let renewals = if self.is_lease_uncertain {
-            URGENT_RENEWALS_PER_LEASE
-        } else {
-            RENEWALS_PER_LEASE
-        };
-        self.lease_renewal_at = context.now.steady + context.tuning.leader_lease_us / renewals;
-        let path = format!("/leases/{}/extend", self.lease);
-        let purpose = self.call_purpose(SchedulerCall::RenewLease);
-        let timeout = context.tuning.leader_lease_us / RENEWALS_PER_LEASE;
-        context.call(Target::Store, "POST", path, Vec::new(), timeout, purpose);
-    }
-
     fn run_stats(&mut self, context: &Context) {
         let now = context.now.steady;
         if now < self.next_stats_at {
--- a/crates/core/src/scheduler/write_conditions.rs
+++ b/crates/core/src/scheduler/write_conditions.rs
@@ -10,6 +10,7 @@
 //! late fails.
 
 use crate::context::Context;
+use crate::scheduler::fenced_lease::FencedLeaseLost;
 use crate::scheduler::Scheduler;
 use crate::state::machine::Assignment;
 use grebewood_wire::http::Condition;
@@ -29,27 +30,15 @@
         ])
     }
 
-    /// Returns the key of the record that is attached to the fenced lease.
-    pub(crate) fn fenced_record_key(&self) -> String {
-        self.partition()
-            .map_or_else(|| LEADER_KEY.to_string(), claim_key)
-    }
-
-    /// Returns the reason why the fenced lease is lost if that record is not in the store any more.
-    pub(crate) fn fenced_record_lost(&self) -> String {
-        let record = match self.partition() {
-            Some(_) => "claim on the partition",
-            None => "leader record",
-        };
-        format!("the {record} has changed or is gone")
-    }
-
-    /// Handles a write that failed because these conditions did not hold. The error is the reason why the fenced
-    /// lease is lost.
-    pub(crate) fn on_conditions_failed(&mut self, failed_keys: &[String]) -> Result<(), String> {
+    /// Handles a write that failed because these conditions did not hold. The error says why the fenced lease
+    /// is lost.
+    pub(crate) fn on_conditions_failed(
+        &mut self,
+        failed_keys: &[String],
+    ) -> Result<(), FencedLeaseLost> {
         let has_failed = |key: &str| failed_keys.iter().any(|failed| failed == key);
         if has_failed(&self.fenced_record_key()) {
-            return Err(self.fenced_record_lost());
+            return Err(self.record_gone());
         }
         let Some(partition) = self.partition() else {
             return Ok(());
