--- a/review/lib-2/kit.py
+++ b/review/lib-2/kit.py
@@ -25,9 +25,15 @@
 
 
 def free_port():
-    with socket.socket() as s:
-        s.bind((HOST, 0))
-        return s.getsockname()[1]
+    """A free port outside the range from which systems usually take the ports of outgoing connections."""
+    while True:
+        port = random.SystemRandom().randrange(12_000, 32_000)
+        with socket.socket() as s:
+            try:
+                s.bind((HOST, port))
+                return port
+            except OSError:
+                continue
 
 
 class Record:
