--- a/review/lib-2/kit.py
+++ b/review/lib-2/kit.py
@@ -357,11 +357,12 @@
         self.type = world.types[kind]
         self.tenure, self.tally, self.warrant, self.recall_s = 1, 0, 0, None
         self.tasks, self.images, self.gone, self.hung = {}, set(), False, False
-        self.cut, self.cut_from, self.direct_cut = False, set(), False
+        self.cut, self.cut_from, self.direct_cut = False, set(), False   # cut: True holds, "reset" resets
         self.node = world.rng.randrange(len(world.nodes))
         self.dirty = asyncio.Event()
         self.lease_from, self.jobs, self.server, self.port = now(), [], None, 0
         self.answers = []   # (time, node, warrant) of answers 200 that were accepted
+        self.refused = []   # (time, warrant) of direct commands answered 409 for their lower warrant
 
     async def begin(self):
         self.server, self.port = await serve(self.on_request)
@@ -439,13 +440,15 @@
                     client = Client(HOST, node.front)
                 status, value = None, None
                 if self.cut or self.node in self.cut_from:
-                    await asyncio.sleep(4.0)
+                    await asyncio.sleep(0.0 if self.cut == "reset" else 4.0)
                     client.close()
                 else:
                     try:
                         status, value = await client.call("POST", "/checkin", self.report(), 4.0)
                     except (OSError, asyncio.TimeoutError):
                         pass
+                if self.cut == "reset":
+                    status, value = None, None
                 while self.hung:
                     await asyncio.sleep(0.05)
                 self.check_lease()
@@ -562,7 +565,7 @@
 
     async def on_request(self, method, path, query, body):
         if self.cut or self.direct_cut:
-            return SILENT
+            return RESET if self.cut == "reset" else SILENT
         while self.hung:
             await asyncio.sleep(0.05)
         if path == "/inspect":
@@ -571,6 +574,9 @@
         if "warrant" not in value or "tenure" not in value:
             return 400, {"error": "missing"}
         if value["warrant"] < self.warrant or value["tenure"] != self.tenure:
+            self.world.record("409 to /do", self.name, "warrant", value["warrant"], "seen", self.warrant)
+            if value["warrant"] < self.warrant:
+                self.refused.append((now(), value["warrant"]))
             return 409, self.report()
         if value["warrant"] > self.warrant:
             self.warrant = value["warrant"]
