--- a/review/lib-2/kit.py
+++ b/review/lib-2/kit.py
@@ -24,16 +24,22 @@
     return time.monotonic()
 
 
+KEPT = []   # sockets on another loopback address that tell other runs of these cases which ports are taken
+
+
 def free_port():
     """A free port outside the range from which systems usually take the ports of outgoing connections."""
     while True:
         port = random.SystemRandom().randrange(12_000, 32_000)
+        kept = socket.socket()
         with socket.socket() as s:
             try:
+                kept.bind(("127.0.0.2", port))
                 s.bind((HOST, port))
+                KEPT.append(kept)
                 return port
             except OSError:
-                continue
+                kept.close()
 
 
 class Record:
