--- a/review/lib-2/kit.py
+++ b/review/lib-2/kit.py
@@ -991,6 +991,10 @@
     record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record("trouble", trouble)
+
+    def on_terminate(*_):
+        raise SystemExit(2)
+    signal.signal(signal.SIGTERM, on_terminate)
     try:
         code = asyncio.run(case(record, trouble))
     except Exception as error:
