Say with one type why a machine is cordoned, and keep its task failures in a module

Three flags (cordoned, draining, faulty) stood for four states; whoever uncordons has to know which of them it ends. Now a cordon is one of Termination, ScaleIn and Faulty, and the failures on a machine with their attribution are a type of their own, out of machine.rs.

One difference: a machine cordoned as idle that got a task from its partition's holder before the holder knew of the cordon counts as one cordoned to save its price, so it takes tasks again once some have waited for 20 s. Before, it stayed cordoned until that task had ended.

--- a/crates/core/src/scheduler/agents/exits.rs
+++ b/crates/core/src/scheduler/agents/exits.rs
@@ -4,7 +4,7 @@
 use crate::context::Context;
 use crate::scheduler::Scheduler;
 use crate::state::jobs::JobIndex;
-use crate::state::machine::{Assignment, ExitedAttempt, FailureAttribution};
+use crate::state::machine::{Assignment, Cordon, ExitedAttempt, FailureAttribution};
 use crate::state::write_buffer::RecordId;
 use crate::{Micros, SECOND};
 use grebewood_wire::http::{ExitCause, ReportedTask};
@@ -159,7 +159,7 @@
         let assignment = exit.assignment;
         let machine = self.machines.get_mut(exit.machine)?;
         let job = self.jobs.get_mut(assignment.job)?;
-        machine.failed_jobs.clear();
+        machine.failures.clear();
         job.consecutive_errors = 0;
         // Only a run that was observed from its start gives the run time of such tasks.
         if let (Some(started), false) = (assignment.started_at, assignment.is_recovered()) {
@@ -187,11 +187,14 @@
         let Some(machine) = self.machines.get_mut(name) else {
             return;
         };
-        machine.record_failure(&id, is_faulty_job);
-        if machine.cordoned && !machine.draining {
+        machine.failures.record(&id, is_faulty_job);
+        if machine
+            .cordon
+            .is_some_and(|cordon| cordon != Cordon::ScaleIn)
+        {
             return;
         }
-        match (machine.failure_attribution(), self.jobs.get_mut(index)) {
+        match (machine.failures.attribution(), self.jobs.get_mut(index)) {
             (FailureAttribution::ByTwoJobs, _) => machine.cordon_as_faulty(),
             (FailureAttribution::ByOneJob, Some(job))
                 if job.terminated_for_failures < MAX_TERMINATIONS_BY_ONE_JOB =>
@@ -207,9 +210,10 @@
     /// itself, unless failures of other jobs still count against them.
     fn uncordon_machines_not_at_fault(&mut self, context: &Context) {
         let is_faulty_job = |id: &str| self.jobs.is_likely_faulty(id);
-        for machine in self.machines.values_mut().filter(|machine| machine.faulty) {
-            machine.forget_failures(is_faulty_job);
-            if machine.failure_attribution() == FailureAttribution::None
+        let machines = self.machines.values_mut();
+        for machine in machines.filter(|machine| machine.cordon == Some(Cordon::Faulty)) {
+            machine.failures.forget(is_faulty_job);
+            if machine.failures.attribution() == FailureAttribution::None
                 && !self.fleet.is_terminating(&machine.name)
             {
                 machine.uncordon_as_healthy();
--- a/crates/core/src/scheduler/agents/heartbeat_status.rs
+++ b/crates/core/src/scheduler/agents/heartbeat_status.rs
@@ -89,9 +89,9 @@
         }
         let since = *machine.unreachable_since.get_or_insert(now);
         let unreachable_for = now.saturating_sub(since);
-        if unreachable_for > 2 * context.settings.agent_lease && !machine.cordoned {
+        if unreachable_for > 2 * context.settings.agent_lease && machine.cordon.is_none() {
             info!(machine = name; "terminating a machine that receives no responses");
-            machine.cordoned = true;
+            machine.cordon_for_termination();
             self.fleet.terminate(name, now);
         }
         self.remove_unlaunched(context, name);
--- a/crates/core/src/scheduler/agents/stops.rs
+++ b/crates/core/src/scheduler/agents/stops.rs
@@ -294,7 +294,7 @@
         let Some(machine) = self.machines.get(name) else {
             return;
         };
-        if !machine.cordoned && machine.reclaim_at.is_none() {
+        if machine.cordon.is_none() && machine.reclaim_at.is_none() {
             return;
         }
         let mut stops: Vec<PlannedStop> = Vec::new();
--- a/crates/core/src/scheduler/agents/unreachable.rs
+++ b/crates/core/src/scheduler/agents/unreachable.rs
@@ -175,7 +175,7 @@
             // until the cloud confirms the termination; without them, the next leader would not know that it is
             // due.
             self.fleet.terminate(name, now);
-            machine.cordoned = true;
+            machine.cordon_for_termination();
         }
         let incarnation = machine.incarnation;
         let ended = machine
@@ -234,7 +234,7 @@
         if !has_overdue_cancellation && !is_gone {
             return;
         }
-        machine.cordoned = true;
+        machine.cordon_for_termination();
         if self.fleet.terminate(name, now) {
             info!(machine = name, silence_s = silence / SECOND; "terminating a machine: no heartbeats or an overdue cancellation");
         }
@@ -260,7 +260,7 @@
         let max_silence = 2 * context.settings.heartbeat_interval;
         self.machines.get(name).is_some_and(|machine| {
             !machine.receives_responses
-                && !machine.cordoned
+                && machine.cordon.is_none()
                 && now.saturating_sub(machine.last_contact_at) < max_silence
                 && now.saturating_sub(machine.last_response_at) >= PROBE_DELAY_US
                 && self.direct_commands_in_flight.len() < MAX_PROBES
@@ -348,7 +348,7 @@
                     "terminating an unreachable machine with replicas of services"
                 );
                 if let Some(machine) = self.machines.get_mut(name) {
-                    machine.cordoned = true;
+                    machine.cordon_for_termination();
                 }
             }
         }
--- a/crates/core/src/scheduler/holder/report.rs
+++ b/crates/core/src/scheduler/holder/report.rs
@@ -130,7 +130,7 @@
         incarnation: machine.incarnation,
         counts_as_capacity: machine.counts_as_capacity(now, heartbeat_timeout),
         receives_responses: machine.receives_responses,
-        cordoned: machine.cordoned,
+        cordoned: machine.cordon.is_some(),
         reclaim_us: machine.reclaim_at.map(|at| at.saturating_sub(now)),
         tasks: machine.assignments.iter().filter_map(task_state).collect(),
     }
--- a/crates/core/src/scheduler/leader/fleet/autoscaler/demand.rs
+++ b/crates/core/src/scheduler/leader/fleet/autoscaler/demand.rs
@@ -201,7 +201,7 @@
     /// slots on other machines now.
     fn displaced_replicas(&self) -> BTreeMap<JobIndex, u64> {
         let mut displaced = BTreeMap::new();
-        let is_going_away = |m: &&Machine| m.cordoned || m.reclaim_at.is_some();
+        let is_going_away = |m: &&Machine| m.cordon.is_some() || m.reclaim_at.is_some();
         for machine in self.machines.values().filter(is_going_away) {
             for assignment in &machine.assignments {
                 let job = self.jobs.get(assignment.job);
--- a/crates/core/src/scheduler/leader/fleet/consolidation.rs
+++ b/crates/core/src/scheduler/leader/fleet/consolidation.rs
@@ -6,7 +6,7 @@
 use crate::scheduler::Scheduler;
 use crate::state::bin_packing::{permits, tasks_that_fit, MachineResources};
 use crate::state::jobs::RESOURCE_TOLERANCE;
-use crate::state::machine::{Assignment, Machine};
+use crate::state::machine::{Assignment, Cordon, Machine};
 use crate::{Micros, SECOND};
 use log::info;
 
@@ -68,8 +68,7 @@
         for Drain { machine, moves } in self.choose_drains(context) {
             info!(machine = machine, tasks = moves.len(); "draining a machine");
             if let Some(machine) = self.machines.get_mut(&machine) {
-                machine.cordoned = true;
-                machine.draining = true;
+                machine.cordon = Some(Cordon::ScaleIn);
             }
             for TaskMove { attempt, grace } in moves {
                 self.stop_assignments(context, &machine, grace, |a| a.attempt == attempt);
@@ -92,20 +91,20 @@
     /// machines have no free resources for them. Without this, drained machines would stay half empty until their
     /// last tasks end, while jobs wait and no machines can be provisioned.
     fn stop_draining(&mut self, now: Micros) {
-        for machine in self.machines.values_mut().filter(|m| m.draining) {
+        let machines = self.machines.values_mut();
+        for machine in machines.filter(|m| m.cordon == Some(Cordon::ScaleIn)) {
             if machine.assignments.is_empty() || self.fleet.is_terminating(&machine.name) {
                 continue;
             }
             info!(machine = machine.name; "stopped draining a machine because tasks wait for free resources");
-            machine.draining = false;
-            machine.cordoned = false;
+            machine.cordon = None;
             self.placement.request_round(now);
         }
     }
 
     /// Returns how many more machines may be drained now.
     fn drains_left(&self, usable: usize) -> usize {
-        let is_draining = |m: &&Machine| m.cordoned && !m.assignments.is_empty();
+        let is_draining = |m: &&Machine| m.cordon.is_some() && !m.assignments.is_empty();
         let draining_count = self.machines.values().filter(is_draining).count();
         (1 + usable / MACHINES_PER_DRAIN).saturating_sub(draining_count)
     }
--- a/crates/core/src/scheduler/leader/fleet/scale_in.rs
+++ b/crates/core/src/scheduler/leader/fleet/scale_in.rs
@@ -5,7 +5,7 @@
 use crate::scheduler::leader::fleet::autoscaler::supply::computing_power;
 use crate::scheduler::Scheduler;
 use crate::state::jobs::RESOURCE_TOLERANCE;
-use crate::state::machine::Machine;
+use crate::state::machine::{Cordon, Machine};
 use crate::Micros;
 use log::info;
 
@@ -46,7 +46,7 @@
         let mut to_terminate: Vec<String> = Vec::new();
         let mut idle_machines: Vec<IdleMachine> = Vec::new();
         for machine in self.machines.values().filter(|m| is_empty(m)) {
-            if machine.cordoned || machine.reclaim_at.is_some() {
+            if machine.cordon.is_some() || machine.reclaim_at.is_some() {
                 to_terminate.push(machine.name.clone());
                 continue;
             }
@@ -72,7 +72,7 @@
             let Some(machine) = self.machines.get_mut(&name) else {
                 continue;
             };
-            machine.cordoned = true;
+            machine.cordon.get_or_insert(Cordon::ScaleIn);
             let partition = machine.partition;
             if self.may_be_terminated(partition, &name) {
                 self.fleet.terminate(&name, now);
--- a/crates/core/src/scheduler/leader/partition_reports.rs
+++ b/crates/core/src/scheduler/leader/partition_reports.rs
@@ -151,7 +151,9 @@
         // Only the holder knows whether the agent receives responses.
         machine.unreachable_since = None;
         machine.counted_as_capacity_by_holder = state.counts_as_capacity;
-        machine.cordoned |= state.cordoned;
+        if state.cordoned {
+            machine.cordon_for_termination();
+        }
         machine.reclaim_at = state.reclaim_us.map(|left| now + left);
         if !machine.assignments.is_empty() {
             machine.idle_since = now;
--- a/crates/core/src/scheduler/leader/quota_messages.rs
+++ b/crates/core/src/scheduler/leader/quota_messages.rs
@@ -108,7 +108,7 @@
         let machines = self.machines.values();
         machines
             .filter(|machine| machine.partition == Some(id))
-            .filter(|machine| machine.cordoned || self.fleet.is_terminating(&machine.name))
+            .filter(|machine| machine.cordon.is_some() || self.fleet.is_terminating(&machine.name))
             .map(|machine| machine.name.clone())
             .collect()
     }
--- a/crates/core/src/state/machine.rs
+++ b/crates/core/src/state/machine.rs
@@ -10,18 +10,17 @@
 
 pub(crate) use crate::state::machine::assignment::{placed_task, stop_command, TaskOnMachine};
 pub use crate::state::machine::assignment::{Assignment, ExitedAttempt, ObservedStatus, Stop};
+pub use crate::state::machine::cordon::Cordon;
+pub(crate) use crate::state::machine::failures::FailureAttribution;
+pub use crate::state::machine::failures::MachineFailures;
 
 pub mod assignment;
+mod cordon;
+mod failures;
 
 /// Time that an agent waits for the response to a heartbeat before it turns to another controller, in microseconds.
 pub(crate) const RESPONSE_TIMEOUT_US: Micros = 4 * SECOND;
 
-/// Number of consecutive failures, all of tasks of one job, after which the machine may be at fault.
-const MIN_FAILURES_OF_ONE_JOB: usize = 4;
-
-/// Maximum number of failures that are remembered for each machine.
-const MAX_FAILURES: usize = 8;
-
 /// Image fetch rate of machine types that publish none, in GB per second.
 const DEFAULT_FETCH_GB_PER_S: f64 = 1.0;
 
@@ -97,14 +96,10 @@
     pub cache_gb: f64,
     /// Rate at which the machine fetches images, in GB per second.
     pub fetch_gb_per_s: f64,
-    /// Whether the machine is cordoned: it is to be terminated, and nothing new is placed on it.
-    pub cordoned: bool,
-    /// Whether the machine is cordoned only to save its price. It takes tasks again if some wait for free resources.
-    pub draining: bool,
-    /// Ids of the jobs whose tasks failed on the machine since the last success, one entry for each failure.
-    pub failed_jobs: Vec<String>,
-    /// Whether the machine is cordoned because tasks failed on it.
-    pub faulty: bool,
+    /// Why nothing new is placed on the machine; `None` if it is not cordoned.
+    pub cordon: Option<Cordon>,
+    /// Task failures on the machine.
+    pub failures: MachineFailures,
     /// Time before which nothing is placed on the machine, because it refused a task.
     pub quarantined_until: Micros,
     /// Time until which tasks of idle priority are not placed on the machine, because tasks are preempted on it for
@@ -120,17 +115,6 @@
     pub unreachable_since: Option<Micros>,
 }
 
-/// Which jobs the failures on a machine come from, as evidence for a fault of the machine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum FailureAttribution {
-    /// Too few failures to blame the machine.
-    None,
-    /// Repeated failures of tasks of a single job: the machine or the job may be at fault.
-    ByOneJob,
-    /// Failures of tasks of at least two jobs.
-    ByTwoJobs,
-}
-
 impl Machine {
     /// Creates an empty machine from its first heartbeat.
     pub fn new(heartbeat: &Heartbeat, machine_type: Option<&MachineType>, now: Micros) -> Self {
@@ -165,10 +149,8 @@
                 .and_then(|of| of.fetch_gb_per_s)
                 .filter(|rate| *rate > 0.0)
                 .unwrap_or(DEFAULT_FETCH_GB_PER_S),
-            cordoned: false,
-            draining: false,
-            failed_jobs: Vec::new(),
-            faulty: false,
+            cordon: None,
+            failures: MachineFailures::default(),
             quarantined_until: 0,
             idle_excluded_until: 0,
             first_listed_at: None,
@@ -198,8 +180,7 @@
             incarnation: self.incarnation,
             sequence: self.sequence,
             knows_token: self.knows_token,
-            cordoned: self.cordoned,
-            draining: self.draining,
+            cordon: self.cordon,
             first_listed_at: self.first_listed_at,
             receives_responses: self.receives_responses,
             unreachable_since: self.unreachable_since,
@@ -270,45 +251,21 @@
         }
     }
 
-    /// Records that a task of the job failed on the machine. Failures of jobs that are likely to be at fault
-    /// themselves do not count against the machine.
-    pub(crate) fn record_failure(&mut self, job: &str, is_faulty_job: impl Fn(&str) -> bool) {
-        self.failed_jobs.push(job.to_string());
-        self.forget_failures(is_faulty_job);
-        let excess = self.failed_jobs.len().saturating_sub(MAX_FAILURES);
-        self.failed_jobs.drain(..excess);
-    }
-
-    /// Removes the failures of jobs that are likely to be at fault themselves.
-    pub(crate) fn forget_failures(&mut self, is_faulty_job: impl Fn(&str) -> bool) {
-        self.failed_jobs.retain(|id| !is_faulty_job(id));
-    }
-
-    /// Returns which jobs the failures since the last success on the machine come from.
-    pub(crate) fn failure_attribution(&self) -> FailureAttribution {
-        let first = self.failed_jobs.first();
-        if self.failed_jobs.iter().any(|id| Some(id) != first) {
-            return FailureAttribution::ByTwoJobs;
-        }
-        match self.failed_jobs.len() >= MIN_FAILURES_OF_ONE_JOB {
-            true => FailureAttribution::ByOneJob,
-            false => FailureAttribution::None,
-        }
+    /// Cordons the machine because it is being terminated.
+    pub(crate) fn cordon_for_termination(&mut self) {
+        self.cordon = Some(Cordon::Termination);
     }
 
     /// Cordons the machine because tasks fail on it. It is terminated once it is empty.
     pub(crate) fn cordon_as_faulty(&mut self) {
         warn!(machine = self.name; "cordoned a faulty machine; terminating it once it is empty");
-        self.cordoned = true;
-        self.draining = false;
-        self.faulty = true;
+        self.cordon = Some(Cordon::Faulty);
     }
 
     /// Uncordons a machine that was cordoned for failures that are now attributed to jobs.
     pub(crate) fn uncordon_as_healthy(&mut self) {
         info!(machine = self.name; "uncordoned a machine: its task failures are attributed to the failing jobs");
-        self.cordoned = false;
-        self.faulty = false;
+        self.cordon = None;
     }
 
     /// Returns whether new tasks may be placed on the machine. Its last heartbeat may be at most `max_silence`
@@ -324,7 +281,7 @@
         let unreachable_for = self
             .unreachable_since
             .map_or(0, |since| now.saturating_sub(since));
-        !self.cordoned
+        self.cordon.is_none()
             && unreachable_for <= RESPONSE_TIMEOUT_US
             && self.reclaim_at.is_none()
             && self.incarnation > 0
--- a/crates/core/src/state/machine/tests.rs
+++ b/crates/core/src/state/machine/tests.rs
@@ -62,15 +62,18 @@
     let mut healthy = machine(0);
     let broken = |id: &str| id.starts_with("broken");
     for _ in 0..10 {
-        healthy.record_failure("broken-1", broken);
-        healthy.record_failure("broken-2", broken);
-        assert_eq!(healthy.failure_attribution(), FailureAttribution::None);
+        healthy.failures.record("broken-1", broken);
+        healthy.failures.record("broken-2", broken);
+        assert_eq!(healthy.failures.attribution(), FailureAttribution::None);
     }
-    healthy.record_failure("req-1", broken);
-    healthy.record_failure("broken-1", broken);
-    assert_eq!(healthy.failure_attribution(), FailureAttribution::None);
-    healthy.record_failure("req-2", broken);
-    assert_eq!(healthy.failure_attribution(), FailureAttribution::ByTwoJobs);
+    healthy.failures.record("req-1", broken);
+    healthy.failures.record("broken-1", broken);
+    assert_eq!(healthy.failures.attribution(), FailureAttribution::None);
+    healthy.failures.record("req-2", broken);
+    assert_eq!(
+        healthy.failures.attribution(),
+        FailureAttribution::ByTwoJobs
+    );
 }
 
 /// Failures of a single job count against the machine from the fourth on, until the job is likely to be at fault.
@@ -83,9 +86,9 @@
         FailureAttribution::None,
         FailureAttribution::ByOneJob,
     ] {
-        faulty.record_failure("req-1", |_| false);
-        assert_eq!(faulty.failure_attribution(), expected);
+        faulty.failures.record("req-1", |_| false);
+        assert_eq!(faulty.failures.attribution(), expected);
     }
-    faulty.forget_failures(|id| id == "req-1");
-    assert_eq!(faulty.failure_attribution(), FailureAttribution::None);
+    faulty.failures.forget(|id| id == "req-1");
+    assert_eq!(faulty.failures.attribution(), FailureAttribution::None);
 }
