Log what is reserved for a job that has waited too long, and keep for how long

The logs could not tell whether a job waited beside room for a reserved machine, for its team's reserved limit or for something else. Reservations of both kinds are now kept with their beginning, and the beginning is logged (debug).

--- a/crates/core/src/scheduler/leader/placement.rs
+++ b/crates/core/src/scheduler/leader/placement.rs
@@ -65,6 +65,8 @@
         }
         self.placement.is_round_requested = false;
         self.leader_quota.teams_short_of_room.clear();
+        self.placement.reserved_machines.remove_lapsed(now);
+        self.placement.reserved_quotas.remove_lapsed(now);
         self.jobs.begin_catch_ups(now);
         let queue = self.job_queue(context);
         let mut open = self.open_machines(context);
@@ -127,7 +129,14 @@
                 && job.placeable_count(now) > 0
                 && self.has_quota_soon(context, queued.index, &mut freed_soon_by_team)
             {
-                reserved_teams.insert(job.spec.team.clone());
+                let team = &job.spec.team;
+                if self.placement.reserved_quotas.renew(team, now) == 0 {
+                    debug!(
+                        job = job.id, team = team;
+                        "reserved the rest of a team's limit for a job that has waited too long"
+                    );
+                }
+                reserved_teams.insert(team.clone());
             }
             has_quota
         });
--- a/crates/core/src/scheduler/leader/placement/reservation.rs
+++ b/crates/core/src/scheduler/leader/placement/reservation.rs
@@ -5,6 +5,7 @@
 use crate::state::bin_packing::{machine_types_for, tasks_that_fit, OpenMachine};
 use crate::state::jobs::{Job, JobIndex};
 use grebewood_wire::http::{Shape, Submission};
+use log::debug;
 use std::collections::BTreeSet;
 
 /// A machine that may be reserved for a job.
@@ -42,7 +43,7 @@
     /// whose tasks need many resources starts only after ten minutes. For a gang, enough machines are reserved for
     /// all of its tasks: with a single machine it would never start.
     pub(crate) fn reserve_for_overdue_start(
-        &self,
+        &mut self,
         context: &Context,
         index: JobIndex,
         open: &mut Vec<OpenMachine>,
@@ -50,9 +51,8 @@
         let Some(job) = self.jobs.get(index) else {
             return;
         };
-        if !job.must_begin_early(context.now.steady)
-            || !self.has_quota(context, index)
-            || !can_start(context, job)
+        let (id, now) = (job.id.clone(), context.now.steady);
+        if !job.must_begin_early(now) || !self.has_quota(context, index) || !can_start(context, job)
         {
             return;
         }
@@ -69,6 +69,14 @@
             reserved_slots += machine.slots;
             reserved.insert(machine.name.to_string());
         }
+        for machine in &reserved {
+            if self.placement.reserved_machines.renew(machine, now) == 0 {
+                debug!(
+                    job = id, machine = machine;
+                    "reserved a machine for a job that has waited too long to start"
+                );
+            }
+        }
         open.retain(|machine| !reserved.contains(&machine.name));
     }
 
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -19,6 +19,7 @@
 pub mod placement;
 pub mod quota;
 pub mod remote_partitions;
+pub mod reservations;
 pub mod stats;
 pub mod unproven_machines;
 pub mod write_buffer;
--- a/crates/core/src/state/placement.rs
+++ b/crates/core/src/state/placement.rs
@@ -1,6 +1,7 @@
 //! State of task placement between its rounds.
 
 use crate::state::jobs::JobIndex;
+use crate::state::reservations::Reservations;
 use crate::Micros;
 
 /// State of task placement between its rounds. Times are in microseconds.
@@ -20,6 +21,10 @@
     pub(crate) next_preemption: Micros,
     /// Number of rounds so far.
     pub rounds: u64,
+    /// Machines reserved for jobs that have waited too long to start.
+    pub(crate) reserved_machines: Reservations,
+    /// Teams the rest of whose limit is reserved for a job that has waited long.
+    pub(crate) reserved_quotas: Reservations,
     /// Whether the last round left tasks waiting.
     pub has_backlog: bool,
 }
