End the cordon of a machine on which tasks failed when its reason is gone, and on trial while jobs wait

The machine gets no task any more, for good.

Cause: a job with a mistake fails four times on the only machine that fits it, which is cordoned as faulty. Replicas of a service stand there, so it is never empty and never terminated. A machine was uncordoned only at the moment at which a job had failed on a second machine; neither the cancellation of that job nor jobs that wait ended the cordon.

Change: failures of a job that is cancelled without any success count against no machine, and its cancellation uncordons the machines that nothing else counts against. And a machine that was cordoned for failures for 60 s and is neither empty nor being terminated takes tasks again once a job has waited for 20 s; its failures are remembered, so one more cordons it again, and a success clears them. So the cordon of a machine that cannot become empty lasts 63 s at most while jobs wait (the fleet is looked at every 3 s), whatever its reason, and a faulty machine fails few tasks.

--- a/crates/core/src/scheduler/agents/exits.rs
+++ b/crates/core/src/scheduler/agents/exits.rs
@@ -177,6 +177,7 @@
         let Some(job) = self.jobs.get_mut(index) else {
             return;
         };
+        let now = context.now.steady;
         let id = job.id.clone();
         let was_likely_faulty = job.is_likely_faulty();
         job.record_failure(name);
@@ -195,23 +196,25 @@
             return;
         }
         match (machine.failures.attribution(), self.jobs.get_mut(index)) {
-            (FailureAttribution::ByTwoJobs, _) => machine.cordon_as_faulty(),
+            (FailureAttribution::ByTwoJobs, _) => machine.cordon_as_faulty(now),
             (FailureAttribution::ByOneJob, Some(job))
                 if job.terminated_for_failures < MAX_TERMINATIONS_BY_ONE_JOB =>
             {
                 job.terminated_for_failures += 1;
-                machine.cordon_as_faulty();
+                machine.cordon_as_faulty(now);
             }
             _ => {}
         }
     }
 
     /// Returns machines to service that were marked as faulty because of a job that turned out to be at fault
-    /// itself, unless failures of other jobs still count against them.
-    fn uncordon_machines_not_at_fault(&mut self, context: &Context) {
+    /// itself or was cancelled, unless failures of other jobs still count against them.
+    pub(crate) fn uncordon_machines_not_at_fault(&mut self, context: &Context) {
         let is_faulty_job = |id: &str| self.jobs.is_likely_faulty(id);
         let machines = self.machines.values_mut();
-        for machine in machines.filter(|machine| machine.cordon == Some(Cordon::Faulty)) {
+        for machine in
+            machines.filter(|machine| machine.cordon.is_some_and(Cordon::is_for_failures))
+        {
             machine.failures.forget(is_faulty_job);
             if machine.failures.attribution() == FailureAttribution::None
                 && !self.fleet.is_terminating(&machine.name)
--- a/crates/core/src/scheduler/completion.rs
+++ b/crates/core/src/scheduler/completion.rs
@@ -42,6 +42,7 @@
         });
         job.cancelled_at = Some(now as i64 - age as i64);
         job.ending = None;
+        self.uncordon_machines_not_at_fault(context);
         self.revoke_delegated_tasks(context, index);
         self.stop_job(context, index);
         self.end_if_over(context, index);
--- a/crates/core/src/scheduler/leader/fleet/consolidation.rs
+++ b/crates/core/src/scheduler/leader/fleet/consolidation.rs
@@ -16,8 +16,8 @@
 /// Number of candidates that one round tries for each machine that may be drained.
 const CANDIDATES_PER_DRAIN: usize = 8;
 
-/// Once a job has waited longer than this for free resources, machines that are being drained take tasks again, in
-/// microseconds.
+/// Once a job has waited longer than this for free resources, cordoned machines that are not empty take tasks again,
+/// in microseconds.
 const MAX_WAIT_US: Micros = 20 * SECOND;
 
 /// A machine is drained only if more than this fraction of its CPUs is free.
@@ -59,7 +59,7 @@
         let now = context.now.steady;
         let longest_wait = self.longest_wait(context);
         if longest_wait.is_some_and(|wait| wait > MAX_WAIT_US) {
-            self.stop_draining(now);
+            self.end_cordons(now);
         }
         let idle_hold = context.tuning.idle_hold_us;
         if longest_wait.is_some() || now.saturating_sub(self.loaded_at) < idle_hold {
@@ -87,18 +87,18 @@
             .max()
     }
 
-    /// Lets machines that are being drained take tasks again, after tasks have waited long because the other
-    /// machines have no free resources for them. Without this, drained machines would stay half empty until their
-    /// last tasks end, while jobs wait and no machines can be provisioned.
-    fn stop_draining(&mut self, now: Micros) {
-        let machines = self.machines.values_mut();
-        for machine in machines.filter(|m| m.cordon == Some(Cordon::ScaleIn)) {
-            if machine.assignments.is_empty() || self.fleet.is_terminating(&machine.name) {
-                continue;
+    /// Lets cordoned machines that are neither empty nor being terminated take tasks again, after tasks have waited
+    /// long because the other machines have no free resources for them. Without this, they would stay half empty
+    /// until their last tasks end, while jobs wait and no machines can be provisioned. Replicas never end.
+    fn end_cordons(&mut self, now: Micros) {
+        for machine in self.machines.values_mut() {
+            let is_staying =
+                !machine.assignments.is_empty() && !self.fleet.is_terminating(&machine.name);
+            let may_end = |cordon: Cordon| cordon.may_end_for_waiting_tasks(now);
+            if is_staying && machine.cordon.is_some_and(may_end) {
+                machine.uncordon_for_waiting_tasks();
+                self.placement.request_round(now);
             }
-            info!(machine = machine.name; "stopped draining a machine because tasks wait for free resources");
-            machine.cordon = None;
-            self.placement.request_round(now);
         }
     }
 
--- a/crates/core/src/state/jobs/job/failures.rs
+++ b/crates/core/src/state/jobs/job/failures.rs
@@ -62,10 +62,13 @@
         self.restarts.avoids(machine, now)
     }
 
-    /// Returns whether the job itself is likely to be at fault: its tasks failed on several machines and none has
-    /// ever succeeded. A job submitted with a mistake fails on every machine. Without this check, two such jobs on
-    /// one machine would make a healthy machine look faulty.
+    /// Returns whether the job itself is likely to be at fault: its tasks failed on several machines, or it was
+    /// cancelled, and none has ever succeeded. A job submitted with a mistake fails on every machine, until its user
+    /// cancels it. Without this check, two such jobs on one machine would make a healthy machine look faulty.
     pub fn is_likely_faulty(&self) -> bool {
+        if self.cancelled_at.is_some() && self.completed_count == 0 {
+            return true;
+        }
         match self.shape {
             // Replicas of a daemon never complete, so there is no success to look for.
             Shape::Daemon => self.restarts.avoided_machine_count() >= FAULTY_JOB_MACHINES,
--- a/crates/core/src/state/machine.rs
+++ b/crates/core/src/state/machine.rs
@@ -257,9 +257,9 @@
     }
 
     /// Cordons the machine because tasks fail on it. It is terminated once it is empty.
-    pub(crate) fn cordon_as_faulty(&mut self) {
+    pub(crate) fn cordon_as_faulty(&mut self, now: Micros) {
         warn!(machine = self.name; "cordoned a faulty machine; terminating it once it is empty");
-        self.cordon = Some(Cordon::Faulty);
+        self.cordon = Some(Cordon::Faulty { since: now });
     }
 
     /// Uncordons a machine that was cordoned for failures that are now attributed to jobs.
@@ -268,6 +268,13 @@
         self.cordon = None;
     }
 
+    /// Uncordons a machine that is not being terminated because tasks wait for free resources. A machine on which
+    /// tasks failed is on trial: its failures are remembered, so that one more cordons it again.
+    pub(crate) fn uncordon_for_waiting_tasks(&mut self) {
+        info!(machine = self.name; "uncordoned a machine because tasks wait for free resources");
+        self.cordon = None;
+    }
+
     /// Returns whether new tasks may be placed on the machine. Its last heartbeat may be at most `max_silence`
     /// microseconds old.
     pub fn is_usable(&self, now: Micros, max_silence: Micros) -> bool {
