Reserve no machine that can never be empty enough, and let jobs that have waited too long use a lasting reservation

No job is placed any more, of any team.

Cause: each job that has waited for 60 s for its first task has a machine reserved in every round, chosen by what the empty machine holds. Replicas never end, so on a machine with a replica that leaves too little the reservation never ends either; nor does one that waits for tasks which run far longer than estimated. As many wide jobs as machines keep all of them.

Change: the slots that count for a reservation are those that replicas leave. And a reservation excludes all other jobs for 60 s at most; after that jobs that have themselves waited too long (60 s for their first task, 70 s since their last one) may use the machine. By then each of them has waited for less than 90 s beside it, whatever the estimates. Others are still excluded, and when the machine is full the next reservation begins anew, so wide jobs go on getting machines: the scenarios with wide jobs and gangs among narrow ones pass as before. The age that counts comes from the job's record, so it is the same under the next leader.

--- a/crates/core/src/scheduler/leader/delegation_policy.rs
+++ b/crates/core/src/scheduler/leader/delegation_policy.rs
@@ -478,7 +478,9 @@
             return true;
         };
         let spec = &job.spec;
-        let mut elsewhere = open.iter().filter(|o| o.placed_by != Some(partition));
+        let mut elsewhere = open
+            .iter()
+            .filter(|open| open.placed_by != Some(partition) && !open.reserved_for_long);
         elsewhere.any(|machine| {
             let (machine_type, zone) = (&machine.machine_type, &machine.zone);
             tasks_that_fit(machine.free, spec) > 0
--- a/crates/core/src/scheduler/leader/placement.rs
+++ b/crates/core/src/scheduler/leader/placement.rs
@@ -247,6 +247,7 @@
                 spot: machine.spot,
                 free: free(machine),
                 excludes_idle_priority: machine.idle_excluded_until > now,
+                reserved_for_long: false,
                 headroom: MachineResources::default(),
                 placed_by: machine
                     .partition
--- a/crates/core/src/scheduler/leader/placement/reservation.rs
+++ b/crates/core/src/scheduler/leader/placement/reservation.rs
@@ -2,8 +2,10 @@
 
 use crate::context::Context;
 use crate::scheduler::Scheduler;
-use crate::state::bin_packing::{machine_types_for, tasks_that_fit, OpenMachine};
+use crate::state::bin_packing::{machine_types_for, tasks_that_fit, MachineResources, OpenMachine};
 use crate::state::jobs::{Job, JobIndex};
+use crate::state::machine::{Assignment, Machine};
+use crate::state::reservations::EXCLUSIVE_RESERVATION_US;
 use grebewood_wire::http::{Shape, Submission};
 use log::debug;
 use std::collections::BTreeSet;
@@ -13,7 +15,7 @@
     name: &'a str,
     zone: &'a str,
     free_cpus: f64,
-    /// How many tasks of the job fit the empty machine.
+    /// How many tasks of the job fit the machine once all of its tasks but the replicas of services have ended.
     slots: u64,
 }
 
@@ -39,6 +41,9 @@
     /// round cannot use them. The machines with the most free CPUs that the job permits are reserved. Nothing is
     /// reserved if the job does not fit its team's limit or cannot start in its zones.
     ///
+    /// A machine that has been reserved for longer than [`EXCLUSIVE_RESERVATION_US`] stays in `open` for jobs that
+    /// have waited too long themselves.
+    ///
     /// Without the reservation, tasks that need few resources use each slot as soon as it is freed, and a job
     /// whose tasks need many resources starts only after ten minutes. For a gang, enough machines are reserved for
     /// all of its tasks: with a single machine it would never start.
@@ -48,14 +53,39 @@
         index: JobIndex,
         open: &mut Vec<OpenMachine>,
     ) {
+        let now = context.now.steady;
         let Some(job) = self.jobs.get(index) else {
             return;
         };
-        let (id, now) = (job.id.clone(), context.now.steady);
         if !job.must_begin_early(now) || !self.has_quota(context, index) || !can_start(context, job)
         {
             return;
         }
+        let id = job.id.clone();
+        let reserved = self.machines_to_reserve(context, job, open);
+        open.retain_mut(|machine| {
+            if !reserved.contains(&machine.name) {
+                return true;
+            }
+            let lasted = self.placement.reserved_machines.renew(&machine.name, now);
+            if lasted == 0 {
+                debug!(
+                    job = id, machine = machine.name;
+                    "reserved a machine for a job that has waited too long to start"
+                );
+            }
+            machine.reserved_for_long = lasted >= EXCLUSIVE_RESERVATION_US;
+            machine.reserved_for_long
+        });
+    }
+
+    /// Returns the names of the machines to be reserved for the job.
+    fn machines_to_reserve(
+        &self,
+        context: &Context,
+        job: &Job,
+        open: &[OpenMachine],
+    ) -> BTreeSet<String> {
         let needed_slots = match job.shape {
             Shape::Gang => job.initial_task_count(),
             _ => 1,
@@ -69,15 +99,7 @@
             reserved_slots += machine.slots;
             reserved.insert(machine.name.to_string());
         }
-        for machine in &reserved {
-            if self.placement.reserved_machines.renew(machine, now) == 0 {
-                debug!(
-                    job = id, machine = machine;
-                    "reserved a machine for a job that has waited too long to start"
-                );
-            }
-        }
-        open.retain(|machine| !reserved.contains(&machine.name));
+        reserved
     }
 
     /// Returns the machines that may be reserved for the job, those with the most free CPUs first. For a
@@ -90,16 +112,17 @@
     ) -> Vec<ReservableMachine<'a>> {
         let mut reservable: Vec<ReservableMachine> = open
             .iter()
-            .filter(|open| open.permits(context, spec))
+            .filter(|open| !open.reserved_for_long && open.permits(context, spec))
             .filter_map(|open| {
                 let machine = self.machines.get(&open.name)?;
                 Some(ReservableMachine {
                     name: &open.name,
                     zone: &open.zone,
                     free_cpus: open.free.cpus,
-                    slots: tasks_that_fit(machine.resources(), spec),
+                    slots: tasks_that_fit(self.resources_without_replicas(machine), spec),
                 })
             })
+            .filter(|machine| machine.slots > 0)
             .collect();
         reservable.sort_by(|a, b| {
             let most_free_first = (-a.free_cpus).total_cmp(&-b.free_cpus);
@@ -111,4 +134,11 @@
         }
         reservable
     }
+
+    /// Returns the resources of a machine that its replicas of services do not take. Replicas never end.
+    fn resources_without_replicas(&self, machine: &Machine) -> MachineResources {
+        let is_replica = |a: &&Assignment| self.jobs.get(a.job).is_some_and(Job::is_daemon);
+        let replicas = machine.assignments.iter().filter(is_replica);
+        replicas.fold(machine.resources(), |left, a| left - a.resources())
+    }
 }
--- a/crates/core/src/scheduler/leader/placement/tasks.rs
+++ b/crates/core/src/scheduler/leader/placement/tasks.rs
@@ -30,6 +30,9 @@
     tasks_left: u64,
     /// Whether the job's tasks may use the headroom that is reserved for services.
     headroom_access: HeadroomAccess,
+    /// Whether the job's tasks have waited so long that they may use machines that have been reserved for another job
+    /// for long.
+    has_waited_too_long: bool,
     /// How long a task is expected to stay on its machine, in microseconds.
     pub expected_stay: Micros,
     /// What one task uses of its team's limit.
@@ -120,10 +123,9 @@
         // meanwhile.
         let may_take_unneeded_headroom =
             self.headroom.has_no_live_services() && job.has_waited_long(now);
-        let may_take_headroom = job.shape == Shape::Daemon
-            || job.must_begin_early(now)
-            || job.is_starving(now)
-            || may_take_unneeded_headroom;
+        let has_waited_too_long = job.has_waited_too_long(now);
+        let may_take_headroom =
+            job.shape == Shape::Daemon || has_waited_too_long || may_take_unneeded_headroom;
         Some(PlacingJob {
             index: queued.index,
             shape: job.shape,
@@ -132,6 +134,7 @@
                 true => HeadroomAccess::Granted,
                 false => HeadroomAccess::Denied,
             },
+            has_waited_too_long,
             expected_stay: self.stats.expected_stay(spec),
             task_amount: Resources::of(spec.cpus, spec.gpus),
             level: queued.level,
@@ -152,6 +155,7 @@
             placing.tasks_that_fit(machine) > 0
                 && machine.permits(context, spec)
                 && (!machine.excludes_idle_priority || spec.priority > Priority::Idle)
+                && (!machine.reserved_for_long || placing.has_waited_too_long)
         };
         let fitting = open.iter().enumerate().filter(|(_, machine)| fits(machine));
         let mut candidates: Vec<(Preference, usize)> = fitting
--- a/crates/core/src/state/bin_packing.rs
+++ b/crates/core/src/state/bin_packing.rs
@@ -139,6 +139,9 @@
     /// Whether no tasks of idle priority are placed on the machine, because tasks were stopped on it for a job of
     /// higher priority.
     pub(crate) excludes_idle_priority: bool,
+    /// Whether the machine has been reserved for so long that tasks may be placed on it whose jobs have waited too
+    /// long themselves.
+    pub(crate) reserved_for_long: bool,
     /// Part of the free resources that is headroom for services.
     pub headroom: MachineResources,
     /// Partition whose holder places tasks on the machine.
--- a/crates/core/src/state/reservations.rs
+++ b/crates/core/src/state/reservations.rs
@@ -4,6 +4,11 @@
 use crate::{Micros, SECOND};
 use std::collections::BTreeMap;
 
+/// Time for which a reservation excludes all other jobs, in microseconds. After that it excludes only those that have
+/// not waited too long themselves. Without this limit, jobs would wait beside free resources for as long as the tasks
+/// run whose end the reservation waits for.
+pub const EXCLUSIVE_RESERVATION_US: Micros = 60 * SECOND;
+
 /// A reservation that is not renewed for this time has ended, in microseconds. Rounds of placement renew reservations,
 /// at least every second; a round that runs out of time may leave one out.
 const LAPSE_US: Micros = 5 * SECOND;
@@ -48,3 +53,6 @@
         now.saturating_sub(self.renewed_at) > LAPSE_US
     }
 }
+
+#[cfg(test)]
+mod tests;
