Withhold the rest of a team's limit for at most 60 s from jobs that have waited too long

Cause: while a job that has waited for 60 s does not fit its team's limit, all later jobs of the team are left out of the rounds if tasks that seem to end within 60 s free enough for it. A task that overruns its estimate seems to end after a fifth of the time that it has run, so within 60 s until it has run for 300 s. Nothing else bounded the wait.

Change: once quota has been withheld from the team's jobs for 60 s, jobs that have themselves waited too long (60 s for their first task, 70 s since their last one) are served, whatever the estimates say.

--- a/crates/core/src/scheduler/leader/placement.rs
+++ b/crates/core/src/scheduler/leader/placement.rs
@@ -11,6 +11,7 @@
 use crate::state::bin_packing::{MachineResources, OpenMachine};
 use crate::state::jobs::{Job, JobIndex, RESOURCE_TOLERANCE};
 use crate::state::machine::Machine;
+use crate::state::reservations::EXCLUSIVE_RESERVATION_US;
 use crate::{Micros, Stopwatch, SECOND};
 use grebewood_quota::{Resources, TeamAmounts};
 use grebewood_wire::http::Shape;
@@ -111,7 +112,6 @@
     /// reserved for it, and the team's later jobs are left out. Without this, tasks that need few resources use
     /// the quota as soon as it is freed, and a gang or a job whose tasks need many resources never starts.
     fn round_order(&mut self, context: &Context, queue: &[QueuedJob]) -> RoundOrder {
-        let now = context.now.steady;
         let mut reserved_teams: BTreeSet<String> = BTreeSet::new();
         let mut freed_soon_by_team = TeamAmounts::new();
         let mut jobs = queue.to_vec();
@@ -119,23 +119,12 @@
             let Some(job) = self.jobs.get(queued.index) else {
                 return false;
             };
-            if reserved_teams.contains(&job.spec.team) {
-                return false;
-            }
             let has_quota = self.has_quota(context, queued.index);
-            let has_waited_long = job.must_begin_early(now) || job.catching_up_since().is_some();
-            if !has_quota
-                && has_waited_long
-                && job.placeable_count(now) > 0
-                && self.has_quota_soon(context, queued.index, &mut freed_soon_by_team)
-            {
-                let team = &job.spec.team;
-                if self.placement.reserved_quotas.renew(team, now) == 0 {
-                    debug!(
-                        job = job.id, team = team;
-                        "reserved the rest of a team's limit for a job that has waited too long"
-                    );
-                }
+            let team = &job.spec.team;
+            if reserved_teams.contains(team) {
+                return has_quota && self.may_use_reserved_quota(context, queued.index);
+            }
+            if !has_quota && self.needs_reserved_quota(context, job, &mut freed_soon_by_team) {
                 reserved_teams.insert(team.clone());
             }
             has_quota
@@ -151,6 +140,41 @@
         }
     }
 
+    /// Returns whether the rest of the team's limit is to be reserved for a job that does not fit it: the job has
+    /// waited long, has tasks to place, and will fit soon.
+    fn needs_reserved_quota(
+        &self,
+        context: &Context,
+        job: &Job,
+        freed_soon_by_team: &mut TeamAmounts,
+    ) -> bool {
+        let now = context.now.steady;
+        let has_waited_long = job.must_begin_early(now) || job.catching_up_since().is_some();
+        has_waited_long
+            && job.placeable_count(now) > 0
+            && self.has_quota_soon(context, job, freed_soon_by_team)
+    }
+
+    /// Returns whether a job that fits the rest of its team's limit may use that rest although it is reserved for
+    /// another job. It may if quota has been withheld from the team's jobs for [`EXCLUSIVE_RESERVATION_US`] and the
+    /// job has waited too long itself. The tasks whose end the reservation waits for may run far longer than
+    /// expected.
+    fn may_use_reserved_quota(&mut self, context: &Context, index: JobIndex) -> bool {
+        let now = context.now.steady;
+        let Some(job) = self.jobs.get(index) else {
+            return false;
+        };
+        let team = &job.spec.team;
+        let lasted = self.placement.reserved_quotas.renew(team, now);
+        if lasted == 0 {
+            debug!(
+                team = team;
+                "reserved the rest of a team's limit for a job that has waited too long"
+            );
+        }
+        lasted >= EXCLUSIVE_RESERVATION_US && job.has_waited_too_long(now)
+    }
+
     /// Places tasks of the jobs in this order until no machine is open or the time budget is exceeded.
     fn place_jobs(
         &mut self,
@@ -199,12 +223,9 @@
     fn has_quota_soon(
         &self,
         context: &Context,
-        index: JobIndex,
+        job: &Job,
         freed_soon_by_team: &mut TeamAmounts,
     ) -> bool {
-        let Some(job) = self.jobs.get(index) else {
-            return false;
-        };
         let (team, now) = (&job.spec.team, context.now.steady);
         let freed = freed_soon_by_team.entry(team.clone()).or_insert_with(|| {
             self.machines
--- a/crates/core/src/state/placement.rs
+++ b/crates/core/src/state/placement.rs
@@ -23,7 +23,8 @@
     pub rounds: u64,
     /// Machines reserved for jobs that have waited too long to start.
     pub(crate) reserved_machines: Reservations,
-    /// Teams the rest of whose limit is reserved for a job that has waited long.
+    /// Teams from whose jobs the rest of the limit is withheld, because it is reserved for a job that has waited
+    /// long.
     pub(crate) reserved_quotas: Reservations,
     /// Whether the last round left tasks waiting.
     pub has_backlog: bool,
