Keep the tasks that a partition's holder has placed off the leader's pages

Cause: in the leader's memory a task that a holder has placed had page number 0, which is the leader's first page. As soon as the leader had a task of its own on the same machine, that page listed the holder's tasks, too. The next leader took them for its own and counted them in the quota grant as well, and such a grant never counted as unneeded.

Evidence: at the load of the next leader page 0 has req-16/0 under the same attempt as page 2000, and of the limit of 26 CPUs 13 are used, 13 granted and 0 left.

Change: a page lists only what its writer has placed. A leader loads the holders' pages first, so that what an earlier version has listed twice is the holder's and leaves the leader's page.

--- a/crates/core/src/scheduler/assignment_pages.rs
+++ b/crates/core/src/scheduler/assignment_pages.rs
@@ -3,7 +3,7 @@
 use crate::context::Context;
 use crate::scheduler::Scheduler;
 use crate::state::assignment_pages::AssignmentPage;
-use crate::state::machine::Machine;
+use crate::state::machine::{Assignment, Machine};
 use crate::state::write_buffer::RecordId;
 use crate::Micros;
 use grebewood_partition::PartitionId;
@@ -67,7 +67,7 @@
         let machines = page.machines.keys();
         let assignments = machines.filter_map(|name| {
             let assignments = self.machines.get(name)?.assignments.iter().enumerate();
-            let on_page = assignments.filter(|(_, assignment)| assignment.page == number);
+            let on_page = assignments.filter(|(_, a)| self.is_on_own_page(a, number));
             Some(on_page.map(|(assignment_index, _)| (name.clone(), assignment_index)))
         });
         assignments.flatten().collect()
@@ -102,31 +102,36 @@
         let page = self.pages.by_number.get(&number);
         let names = page.into_iter().flat_map(|page| page.machines.keys());
         let machines = names.filter_map(|name| self.machines.get(name));
+        let groups = machines.flat_map(|machine| self.assignments_by_incarnation(machine, number));
         AssignmentPageRecord {
-            machines: machines
-                .flat_map(|machine| assignments_by_incarnation(machine, number))
-                .collect(),
+            machines: groups.collect(),
         }
     }
-}
 
-/// Returns the assignments of a machine on this page, grouped by the incarnation of the agent that is to run them.
-fn assignments_by_incarnation(machine: &Machine, page: u64) -> Vec<MachineAssignments> {
-    let mut groups: BTreeMap<u64, Vec<(String, u64, u64)>> = BTreeMap::new();
-    let on_page = machine.assignments.iter();
-    for assignment in on_page.filter(|assignment| assignment.page == page) {
-        let group = groups.entry(assignment.incarnation).or_default();
-        let job = assignment.job_id.clone();
-        group.push((job, assignment.task, assignment.attempt));
+    /// Returns whether the assignment is on this page, which this scheduler writes. The leader does not know the page
+    /// of a task that a holder has placed, and a holder does not know that of a task that the leader has placed.
+    fn is_on_own_page(&self, assignment: &Assignment, page: u64) -> bool {
+        assignment.page == page && assignment.placed_by_holder == self.is_holder()
     }
-    let groups = groups.into_iter().map(|(incarnation, assignments)| {
-        let (machine, zone) = (machine.name.clone(), machine.zone.clone());
-        MachineAssignments {
-            machine,
-            incarnation,
-            zone,
-            assignments,
+
+    /// Returns the assignments of a machine on this page, grouped by the incarnation of the agent that is to run them.
+    fn assignments_by_incarnation(&self, machine: &Machine, page: u64) -> Vec<MachineAssignments> {
+        let mut groups: BTreeMap<u64, Vec<(String, u64, u64)>> = BTreeMap::new();
+        let on_page = machine.assignments.iter();
+        for assignment in on_page.filter(|a| self.is_on_own_page(a, page)) {
+            let group = groups.entry(assignment.incarnation).or_default();
+            let job = assignment.job_id.clone();
+            group.push((job, assignment.task, assignment.attempt));
         }
-    });
-    groups.collect()
+        let groups = groups.into_iter().map(|(incarnation, assignments)| {
+            let (machine, zone) = (machine.name.clone(), machine.zone.clone());
+            MachineAssignments {
+                machine,
+                incarnation,
+                zone,
+                assignments,
+            }
+        });
+        groups.collect()
+    }
 }
--- a/crates/core/src/scheduler/loading/assignments.rs
+++ b/crates/core/src/scheduler/loading/assignments.rs
@@ -41,8 +41,14 @@
     pub(crate) fn load_assignment_pages(
         &mut self,
         context: &mut Context,
-        entries: Vec<KeyValue<Value>>,
+        mut entries: Vec<KeyValue<Value>>,
     ) {
+        // An earlier version may have listed the tasks that a holder has placed on the leader's pages, too. Those are
+        // the holder's, which counts them in its quota grant.
+        entries.sort_by_key(|entry| {
+            let number = page_number(&entry.key);
+            number.is_none_or(|number| self.partition_writing_page(context, number).is_none())
+        });
         for entry in entries {
             self.write_buffer
                 .record_revision(&entry.key, entry.mod_revision);
