Let delegated tasks that were revoked before they were sent wait at the leader again

Cause: a revoked task is not sent to its partition's holder, and a holder returns only what it was sent. A task that was delegated again while an earlier revocation of its job was under way was unsent, and the rounds revoked it anew before each message: it was neither sent nor returned, and kept its room and quota.

The job of a cancellation was treated right before (revoke_delegated_tasks); now all revocations are.

--- a/crates/core/src/scheduler/leader/delegation_policy.rs
+++ b/crates/core/src/scheduler/leader/delegation_policy.rs
@@ -205,7 +205,8 @@
     /// longer than [`PLACEMENT_TIMEOUT_US`] counts as slow and gets no tasks for a while.
     fn release_unplaced_charge(&mut self, delegation: &Delegation, now: Micros) {
         let partition = delegation.partition;
-        if now.saturating_sub(delegation.delegated_at) > PLACEMENT_TIMEOUT_US {
+        let age = now.saturating_sub(delegation.delegated_at);
+        if delegation.sent && age > PLACEMENT_TIMEOUT_US {
             let until = now + SLOW_HOLDER_BACKOFF_US;
             self.leader_quota.holder_slow_until.insert(partition, until);
         }
@@ -213,19 +214,29 @@
         grants.remove_queued(partition, &delegation.team, delegation.amount, now);
     }
 
-    /// Revokes the job's delegated tasks from all holders. Tasks that were not sent yet wait at the leader again
-    /// at once.
+    /// Revokes the job's delegated tasks from all holders.
     pub(crate) fn revoke_delegated_tasks(&mut self, context: &Context, index: JobIndex) {
         let tasks = self.leader_quota.delegations.of_job(index);
-        let tasks: Vec<(TaskKey, PartitionId, bool)> = tasks
-            .map(|(task, delegation)| (task, delegation.partition, delegation.sent))
-            .collect();
-        for (task, partition, sent) in tasks {
-            if sent {
-                self.leader_quota.delegations.revoke(partition, index);
-            } else {
-                self.requeue_delegated_task(context, task);
-            }
+        let partitions: BTreeSet<PartitionId> =
+            tasks.map(|(_, delegation)| delegation.partition).collect();
+        for partition in partitions {
+            self.revoke_from_holder(context, partition, index);
+        }
+    }
+
+    /// Revokes the job's delegated tasks from the partition's holder. Tasks that were not sent yet wait at the leader
+    /// again at once: a revoked task is not sent, and the holder cannot return what it does not have.
+    fn revoke_from_holder(&mut self, context: &Context, partition: PartitionId, index: JobIndex) {
+        let tasks = self.leader_quota.delegations.of_job(index);
+        let (sent, unsent): (Vec<_>, Vec<_>) = tasks
+            .filter(|(_, delegation)| delegation.partition == partition)
+            .map(|(task, delegation)| (task, delegation.sent))
+            .partition(|(_, sent)| *sent);
+        if !sent.is_empty() {
+            self.leader_quota.delegations.revoke(partition, index);
+        }
+        for (task, _) in unsent {
+            self.requeue_delegated_task(context, task);
         }
     }
 
@@ -338,8 +349,10 @@
         teams_with_reserved_quota: &BTreeSet<String>,
     ) {
         let leader_only_level = self.most_urgent_leader_only_level(context, queue);
-        self.revoke_awaiting_resources(|d| leader_only_level.is_some_and(|level| d.level >= level));
-        self.revoke_awaiting_resources(|d| teams_with_reserved_quota.contains(&d.team));
+        self.revoke_awaiting_resources(context, |d| {
+            leader_only_level.is_some_and(|level| d.level >= level)
+                || teams_with_reserved_quota.contains(&d.team)
+        });
         let mut freeing = self.freeing_machines(context);
         let mut unused = self.grants_unused_soon(context);
         for queued in queue {
@@ -367,7 +380,7 @@
             // for them, resources that were freed by preemption for a team below its guaranteed share would go to
             // other teams again.
             if placing.has_more() && self.has_quota(context, queued.index) {
-                self.revoke_awaiting_resources(|d| d.level > queued.level);
+                self.revoke_awaiting_resources(context, |d| d.level > queued.level);
                 break;
             }
         }
@@ -391,14 +404,18 @@
 
     /// Revokes all delegated tasks of each job with a chosen task, from the holder at which the chosen task waits for
     /// resources.
-    fn revoke_awaiting_resources(&mut self, is_chosen: impl Fn(&Delegation) -> bool) {
+    fn revoke_awaiting_resources(
+        &mut self,
+        context: &Context,
+        is_chosen: impl Fn(&Delegation) -> bool,
+    ) {
         let delegations = self.delegations_awaiting_resources();
         let chosen = delegations.filter(|(_, delegation)| is_chosen(delegation));
         let chosen: BTreeSet<(PartitionId, JobIndex)> = chosen
             .map(|(task, delegation)| (delegation.partition, task.job))
             .collect();
         for (partition, index) in chosen {
-            self.leader_quota.delegations.revoke(partition, index);
+            self.revoke_from_holder(context, partition, index);
         }
     }
 
@@ -461,7 +478,7 @@
             }
         }
         for (partition, index) in overdue {
-            self.leader_quota.delegations.revoke(partition, index);
+            self.revoke_from_holder(context, partition, index);
         }
     }
 
@@ -480,7 +497,7 @@
         let spec = &job.spec;
         let mut elsewhere = open
             .iter()
-            .filter(|open| open.placed_by != Some(partition) && !open.reserved_for_long);
+            .filter(|open| open.placed_by != Some(partition) && !open.reserved);
         elsewhere.any(|machine| {
             let (machine_type, zone) = (&machine.machine_type, &machine.zone);
             tasks_that_fit(machine.free, spec) > 0
