--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -129,6 +129,11 @@
 //!                                           copies of the machine's heartbeats reach the leader late; next:
 //!                                           the newest copy is kept and reaches the next leader as soon as
 //!                                           it leads; to=all: copies reach every controller that is up
+//! at 5  command_copies for=20 late=0.5      start commands that were carried out arrive once more, so much later:
+//!                                           orders to partition holders, and responses to heartbeats, which
+//!                                           agents drop; also all direct commands, none of which may start a
+//!                                           task. Further such lines add further copies
+//! at 5  command_copies_arrived [orders=9] [responses=9] [direct=9]   at least so many copies arrived
 //! at 5  copies_at_newer_leader N            at least so many copies reached a leader of a newer token
 //! at 5  restart MACHINE                     the machine's agent is back at once, in a new incarnation
 //! at 5  provisioned MACHINE yes|no
@@ -256,7 +261,7 @@
 }
 
 /// The directives that inject faults, and how long each fault lasts by default.
-const FAULT_DURATIONS: [(&str, Micros); 18] = [
+const FAULT_DURATIONS: [(&str, Micros); 19] = [
     ("crash", 4 * SECOND),
     ("upgrade", 4 * SECOND),
     ("cut", 10 * SECOND),
@@ -269,6 +274,7 @@
     ("drop_inbound", 30 * SECOND),
     ("disconnect", 30 * SECOND),
     ("heartbeat_copies", 10 * SECOND),
+    ("command_copies", 20 * SECOND),
     ("hang", 5 * SECOND),
     ("drop_heartbeats", 30 * SECOND),
     ("drop_renewals", 10 * SECOND),
--- a/crates/testkit/src/world/agents.rs
+++ b/crates/testkit/src/world/agents.rs
@@ -49,7 +49,10 @@
             return Ok(());
         };
         match status {
-            200 => self.apply_heartbeat_response(name, sent_at, body),
+            200 => {
+                self.copy_launches(name, heartbeat_id, controller, body);
+                self.apply_heartbeat_response(name, sent_at, body)
+            }
             421 => {
                 let redirect = from_cbor::<Redirect>(body).ok();
                 let leader = redirect.and_then(|redirect| redirect.controller);
@@ -247,6 +250,9 @@
             (200, started)
         };
         let heartbeat = to_cbor(&machine.build_heartbeat(self.now));
+        if status == 200 {
+            self.copy_direct_command(caller, address, &commands, body);
+        }
         self.reply(caller, Link::Agents, CALL_LATENCY_US, status, heartbeat);
         self.check_starts(&name, &started)
     }
--- a/crates/testkit/src/world/calls.rs
+++ b/crates/testkit/src/world/calls.rs
@@ -120,6 +120,7 @@
         let leaves = self.arrival(from, Link::Peers, PEER_LATENCY_US);
         let reaches = self.arrival(to, Link::Peers, PEER_LATENCY_US);
         if let (Some(leaves), Some(reaches)) = (leaves, reaches) {
+            self.copy_orders(from, to, &call.path, &body);
             let request = Request {
                 controller: to,
                 interface: Interface::Peer,
--- a/crates/testkit/src/world/events.rs
+++ b/crates/testkit/src/world/events.rs
@@ -92,6 +92,10 @@
     DelayedHeartbeatResponse(String, u64, usize, u16, Vec<u8>),
     /// A late copy of a heartbeat is sent to the controllers that lead, or to every controller that is up.
     HeartbeatCopy { body: Vec<u8>, to_all: bool },
+    /// A late copy of orders to the holder of a partition reaches a controller.
+    OrdersCopy(Request),
+    /// A late copy of the response to a heartbeat reaches an agent: machine, heartbeat, controller and body.
+    ResponseCopy(String, u64, usize, Vec<u8>),
     /// Users poll a job at every controller.
     PollEverywhere(String),
     /// A delayed heartbeat with this sequence number arrives. The agent must have sent a newer status since,
@@ -131,7 +135,7 @@
     fn resumes_at(&self, event: &Event) -> Option<Micros> {
         let (controller, is_request) = match event {
             Event::Input(controller, ..) => (*controller, false),
-            Event::Request(request) => (request.controller, true),
+            Event::Request(request) | Event::OrdersCopy(request) => (request.controller, true),
             _ => return None,
         };
         let resumes = self.controllers[controller].paused_until;
@@ -147,6 +151,10 @@
                 return self.handle_direct_command(caller, &address, &body)
             }
             Event::Request(request) => return self.handle_request(request),
+            Event::OrdersCopy(request) => return self.deliver_orders_copy(request),
+            Event::ResponseCopy(machine, heartbeat, controller, body) => {
+                return self.deliver_response_copy(&machine, heartbeat, controller, &body)
+            }
             Event::Response(requester, controller, status, body) => {
                 return self.handle_response(requester, controller, status, body)
             }
--- a/crates/testkit/src/world/faults.rs
+++ b/crates/testkit/src/world/faults.rs
@@ -9,10 +9,13 @@
 use crate::time::Micros;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+mod commands;
 mod heartbeats;
 mod store;
 mod users;
 
+pub(super) use commands::start_tasks;
+use commands::CommandCopies;
 use heartbeats::{HeartbeatCopies, HeartbeatKey, HeldCopy};
 use store::{LostAnswer, RecurringTransactionFault};
 
@@ -60,6 +63,8 @@
     newest_heartbeats: BTreeMap<HeartbeatKey, (u64, u64)>,
     /// Delays of direct commands whose responses are lost, by machine.
     lost_direct_commands: BTreeMap<String, Delay>,
+    /// Late copies of start commands and of direct commands.
+    command_copies: CommandCopies,
     /// Delay after which users cancel a job whose last task has completed.
     cancel_at_end: Delay,
     /// Time until which users poll a job at every controller after each new kind of response about it.
@@ -127,6 +132,8 @@
                 self.faults.forged_cancellation = Some((job.into(), until));
             }
             ("heartbeat_copies", machine) => self.start_heartbeat_copies(directive, machine)?,
+            ("command_copies", _) => self.start_command_copies(directive)?,
+            ("command_copies_arrived", _) => self.expect_command_copies(directive)?,
             ("copies_at_newer_leader", _) => self.expect_copies(directive)?,
             ("drop_heartbeats" | "drop_inbound" | "disconnect" | "hang", _) => {
                 self.apply_machine_fault(directive)?
--- a/crates/testkit/src/world/responses.rs
+++ b/crates/testkit/src/world/responses.rs
@@ -2,6 +2,7 @@
 
 use super::configuration::member_name;
 use super::events::{Caller, Event, Requester};
+use super::faults::start_tasks;
 use super::network::{Link, PEER_LATENCY_US, REQUEST_LATENCY_US};
 use super::users::status_in;
 use super::World;
@@ -200,7 +201,7 @@
             return None;
         }
         let response = from_cbor::<HeartbeatResponse>(body).ok()?;
-        let launches = response.commands.iter().any(is_launch);
+        let launches = start_tasks(&response.commands);
         launches
             .then(|| self.faults.launch_response_delays.remove(machine))
             .flatten()
