--- a/crates/core/src/scheduler/leader.rs
+++ b/crates/core/src/scheduler/leader.rs
@@ -8,3 +8,4 @@
 pub(crate) mod placement;
 pub(crate) mod quota_limits;
 pub(crate) mod quota_messages;
+pub(crate) mod revocations;
