Count a gang's room within the limits of its zones when observing its wait

A spread gang with room in one zone only was taken for one that waits beside room. It can't be placed there, and its wait would have ended cordons for failures for nothing.

--- a/crates/core/src/scheduler/leader/placement/tasks.rs
+++ b/crates/core/src/scheduler/leader/placement/tasks.rs
@@ -15,7 +15,7 @@
 use std::ops::ControlFlow;
 
 /// Returns how many tasks of a job that is spread over zones may be in one zone.
-fn max_tasks_in_zone(spec: &Submission) -> u64 {
+pub(crate) fn max_tasks_in_zone(spec: &Submission) -> u64 {
     spec.tasks.div_ceil(2)
 }
 
--- a/crates/core/src/scheduler/leader/placement/waits.rs
+++ b/crates/core/src/scheduler/leader/placement/waits.rs
@@ -5,6 +5,7 @@
 //! had free resources for the job, whatever keeps them from it.
 
 use crate::context::Context;
+use crate::scheduler::leader::placement::tasks::max_tasks_in_zone;
 use crate::scheduler::leader::placement::{free_without, QueuedJob};
 use crate::scheduler::Scheduler;
 use crate::state::bin_packing::{permits, tasks_that_fit, MachineResources};
@@ -118,25 +119,30 @@
         if job.placeable_count(context.now.steady) == 0 || !self.has_quota(context, index) {
             return false;
         }
-        let needed_slots = match job.shape {
-            Shape::Gang => job.waiting_count(),
-            _ => 1,
-        };
-        let mut slots_by_zone: BTreeMap<&str, u64> = BTreeMap::new();
-        for room in rooms {
-            if room.free.cpus + RESOURCE_TOLERANCE < job.spec.cpus {
-                break;
-            }
-            let zone = match job.spec.one_zone {
-                true => room.machine.zone.as_str(),
-                false => "",
-            };
-            let slots = slots_by_zone.entry(zone).or_insert(0);
-            *slots += room.slots(context, job);
-            if *slots >= needed_slots {
-                return true;
-            }
+        let mut fitting = rooms
+            .iter()
+            .take_while(|room| room.free.cpus + RESOURCE_TOLERANCE >= job.spec.cpus);
+        match job.shape {
+            Shape::Gang => gang_slots(context, job, fitting) >= job.waiting_count(),
+            _ => fitting.any(|room| room.slots(context, job) > 0),
         }
-        false
+    }
+}
+
+/// Returns how many tasks of a gang the machines have room for at the same time, within the limits of its zones.
+fn gang_slots<'a>(context: &Context, gang: &Job, rooms: impl Iterator<Item = &'a Room<'a>>) -> u64 {
+    let mut by_zone: BTreeMap<&str, u64> = BTreeMap::new();
+    for room in rooms {
+        *by_zone.entry(&room.machine.zone).or_insert(0) += room.slots(context, gang);
+    }
+    let slots = by_zone.into_values();
+    if gang.spec.one_zone {
+        slots.max().unwrap_or(0)
+    } else if gang.spec.spread {
+        slots
+            .map(|slots| slots.min(max_tasks_in_zone(&gang.spec)))
+            .sum()
+    } else {
+        slots.sum()
     }
 }
